--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,991 @@
+// Package choice is the decision module: a central planner that gives plain proxies their tables.
+//
+// Call New once with what is read at start, then Step with each batch of events; Step returns the orders, to be
+// carried out in that order. The interface (ids, events, orders, bootstrap names) is in types.go. An instance shares
+// nothing, knows no wire and no clock but the times it is handed: same events, same orders.
+//
+// How it works. Each backend and each proxy is an actor with an inbox; so are the roll (the list), the ring (the
+// arcs), the gate (levels and tries) and the channel. They talk by notes, which one loop delivers. Per proxy there is
+// one push in flight, clocked by the proxy's answer to its mark; what changes meanwhile goes as one delta.
+package choice
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"slices"
+)
+
+const (
+	tick         = 0.25 // how often time-driven parts look again
+	arcLeast     = 3    // servers in an arc
+	coverage     = 2    // arcs over each server
+	usageSpan    = 30.0 // seconds over which usage is averaged
+	resizeBy     = 2    // an arc's size moves by no less
+	climbSteps   = 4    // messages that a new server's climb costs each proxy
+	silence      = 4.0  // usual answer times without an answer that bring a full resend
+	healthSpan   = 3.0  // seconds over which tries are averaged for health
+	healthTries  = 4.0  // tries that a judgement needs
+	healthBad    = 0.4  // share of bad tries, beyond the fleet's, that benches a server
+	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
+	benchMost    = 20.0
+	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
+	probeEvery   = 1.0
+	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
+	jamDelay     = 0.5  // or a mean time of this much of the soft deadline
+	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
+	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use; the rest is for guards
+)
+
+// Planner is one instance.
+type Planner struct {
+	boot  Bootstrap
+	now   Seconds
+	count uint32
+	figures
+	eps     []*backend
+	index   map[EP]int
+	zones   map[Zone]int
+	proxies []*proxy // by number
+	roll    *roll
+	ring    *ring
+	gate    *gate
+	channel *channel
+	waiting []part
+	out     []Order
+	alarm   Seconds
+}
+
+// New makes an instance.
+func New(b Bootstrap) *Planner {
+	c := &Planner{boot: b, now: b.Now, index: map[EP]int{}, zones: map[Zone]int{}}
+	for z := 0; z < int(b.Num("zones.n", 0)); z++ {
+		c.place(Zone(b.Word(fmt.Sprintf("zones.%d", z))))
+	}
+	c.roll, c.ring = &roll{c: c}, &ring{c: c}
+	c.gate, c.channel = newGate(c), &channel{c: c, usual: b.Num("push_time", 0.2)}
+	return c
+}
+
+// Step takes the events of one moment and returns what to do.
+func (c *Planner) Step(now Seconds, events []Event) []Order {
+	c.now, c.out = now, nil
+	for _, e := range events {
+		c.route(e)
+		c.loop()
+	}
+	if now >= c.alarm {
+		for _, p := range c.parts() {
+			c.post(p, clock{})
+		}
+		c.alarm = now + tick
+		c.out = append(c.out, Alarm{1, c.alarm})
+		c.loop()
+	}
+	if c.boot.Num("slices", 0) == 0 {
+		for _, p := range c.proxies {
+			c.post(p, flush{})
+		}
+		c.loop()
+		c.readmit()
+	}
+	c.loop()
+	c.seal()
+	return c.out
+}
+
+func (c *Planner) parts() []part {
+	all := []part{c.roll, c.gate, c.channel}
+	for _, e := range c.eps {
+		all = append(all, e)
+	}
+	for _, p := range c.proxies {
+		all = append(all, p)
+	}
+	return append(all, c.ring)
+}
+
+// route puts an event into the inbox of the part that it concerns.
+func (c *Planner) route(e Event) {
+	switch e := e.(type) {
+	case Listed:
+		c.post(c.roll, e)
+	case Joined:
+		c.post(c.proxy(e.Proxy), e)
+	case Left:
+		c.post(c.proxy(e.Proxy), e)
+	case Answered:
+		c.post(c.channel, heard{e.Mark, e.Delay})
+		c.post(c.proxy(e.Proxy), e)
+	case UsageSum:
+		c.post(c.proxy(e.Proxy), e)
+	case TrySum:
+		if i, ok := c.index[e.EP]; ok {
+			c.post(c.eps[i], e)
+		}
+	case Probed:
+		if i, ok := c.index[e.EP]; ok {
+			c.post(c.eps[i], e)
+		}
+	}
+}
+
+func (c *Planner) post(to part, n note) {
+	b := to.inbox()
+	if b.notes = append(b.notes, n); len(b.notes) == 1 {
+		c.waiting = append(c.waiting, to)
+	}
+}
+
+func (c *Planner) loop() {
+	for len(c.waiting) > 0 {
+		p := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		notes := p.inbox().notes
+		p.inbox().notes = nil
+		for _, n := range notes {
+			p.take(n)
+		}
+	}
+}
+
+// chance draws from 0 to 1.
+func (c *Planner) chance() float64 {
+	c.count++
+	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint64(nil, c.boot.Seed), c.count)
+	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+}
+
+func (c *Planner) place(z Zone) int {
+	i, ok := c.zones[z]
+	if !ok {
+		i = len(c.zones)
+		c.zones[z] = i
+	}
+	return i
+}
+
+// roll keeps the list of servers, and sees to it that news of it keeps coming.
+type roll struct {
+	box
+	c     *Planner
+	ask   Seconds // when to ask again
+	tried int     // failures in a row
+	asked bool
+	fresh bool // a list newer than the one kept over the start has come
+}
+
+func (r *roll) take(n note) {
+	c := r.c
+	switch n := n.(type) {
+	case Listed:
+		if n.Kind == ListFailed {
+			// Against a list service that is jammed by everybody asking again at once: later each time, by chance,
+			// but well inside the time after which we would count as told.
+			r.tried = min(r.tried+1, 4)
+			r.ask = c.now + min(0.25*math.Exp2(float64(r.tried)), c.boot.Num("ask_within", 10)/3)*(0.5+c.chance())
+			r.asked = false
+			return
+		}
+		if n.Kind != ListKept {
+			r.tried, r.fresh, r.ask = 0, true, math.Inf(1)
+		}
+		listed := map[int]bool{}
+		for _, e := range n.Entries {
+			i := c.backend(e.EP)
+			listed[i] = true
+			c.post(c.eps[i], e)
+		}
+		if n.Kind != ListDelta {
+			for i, e := range c.eps {
+				if !listed[i] && c.state[i] != Gone {
+					c.post(e, Entry{EP: c.id[i], State: Gone, Start: c.start[i]})
+				}
+			}
+		}
+		r.look()
+	case clock:
+		r.look()
+	}
+}
+
+func (r *roll) look() {
+	if r.c.boot.Word("listing") == "asked" && r.c.now >= r.ask {
+		r.c.out = append(r.c.out, Watch{true})
+		// An answer that never comes must not leave us deaf.
+		r.asked, r.ask = true, r.c.now+r.c.boot.Num("ask_within", 10)/2
+	}
+}
+
+// backend is the actor of one server.
+type backend struct {
+	box
+	c *Planner
+	i int
+}
+
+func (c *Planner) backend(id EP) int {
+	if i, ok := c.index[id]; ok {
+		return i
+	}
+	i := len(c.id)
+	c.index[id] = i
+	c.eps = append(c.eps, &backend{c: c, i: i})
+	c.id, c.zone, c.weight = append(c.id, id), append(c.zone, 0), append(c.weight, 1)
+	c.state, c.start = append(c.state, Gone), append(c.start, 0)
+	c.hash = append(c.hash, crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id))))
+	c.ease, c.shut, c.probe = append(c.ease, 1), append(c.shut, false), append(c.probe, 0)
+	c.tries, c.bad = append(c.tries, nil), append(c.bad, nil)
+	c.delay, c.last = append(c.delay, nil), append(c.last, nil)
+	c.bench, c.fouls = append(c.bench, nil), append(c.fouls, nil)
+	c.widen(i)
+	return i
+}
+
+// widen makes room for zones met since.
+func (c *Planner) widen(i int) {
+	for len(c.tries[i]) < len(c.zones) {
+		c.tries[i], c.bad[i] = append(c.tries[i], 0), append(c.bad[i], 0)
+		c.delay[i], c.last[i] = append(c.delay[i], 0), append(c.last[i], 0)
+		c.bench[i], c.fouls[i] = append(c.bench[i], 0), append(c.fouls[i], 0)
+	}
+}
+
+func (b *backend) take(n note) {
+	c, i := b.c, b.i
+	switch n := n.(type) {
+	case Entry:
+		b.listed(n)
+	case TrySum:
+		z := c.place(n.Zone)
+		c.widen(i)
+		keep := math.Exp(-(c.now - c.last[i][z]) / healthSpan)
+		c.last[i][z] = c.now
+		good := float64(n.Tries - n.Bad)
+		if have := (c.tries[i][z] - c.bad[i][z]) * keep; good > 0 {
+			c.delay[i][z] = (c.delay[i][z]*have + n.Delay*good) / (have + good)
+		}
+		c.tries[i][z] = c.tries[i][z]*keep + float64(n.Tries)
+		c.bad[i][z] = c.bad[i][z]*keep + float64(n.Bad)
+		b.judge()
+	case Probed:
+		if !n.OK && !n.Busy {
+			for z := range c.bench[i] {
+				if c.bench[i][z] > c.now {
+					c.bench[i][z] = max(c.bench[i][z], c.now+2*probeEvery)
+				}
+			}
+		}
+	case clock:
+		if ease := b.climb(); ease != c.ease[i] {
+			c.ease[i] = ease
+			c.post(c.ring, redo{})
+		}
+		benched := false
+		for z, until := range c.bench[i] {
+			if until > c.now {
+				benched = true
+			} else if until > 0 {
+				// Sums of the time before the bench must not bench it again.
+				c.bench[i][z], c.tries[i][z], c.bad[i][z] = 0, 0, 0
+				c.post(c.ring, redo{})
+			} else if c.fouls[i][z] > 0 && c.tries[i][z] >= healthTries && c.bad[i][z] < 0.1*c.tries[i][z] {
+				c.fouls[i][z] = 0
+			}
+		}
+		if benched && c.state[i] == Open && c.now >= c.probe[i] && c.boot.Flag("probes") {
+			c.probe[i] = c.now + probeEvery
+			c.out = append(c.out, Probe{c.id[i]})
+		}
+	}
+}
+
+func (b *backend) listed(e Entry) {
+	c, i := b.c, b.i
+	c.zone[i] = c.place(e.Zone)
+	if e.State != Gone {
+		c.weight[i] = max(e.Weight, 1e-3)
+	}
+	c.widen(i)
+	if e.State == Open && e.Start > c.start[i] {
+		// A restart under the same id: what was held against the old process is void, and it is cold.
+		for z := range c.bench[i] {
+			c.bench[i][z], c.fouls[i][z], c.tries[i][z], c.bad[i][z] = 0, 0, 0, 0
+		}
+	}
+	c.state[i], c.start[i] = e.State, max(e.Start, c.start[i])
+	c.ease[i] = b.climb()
+	// Where gone does not bind, a server dropped from the list leaves by the clock.
+	binds := e.State == Draining || e.State == Gone && !c.boot.Flag("only_draining_binds")
+	if binds && !c.shut[i] {
+		c.shut[i] = true
+		c.out = append(c.out, Withdraw{e.EP, true})
+		for _, p := range c.proxies {
+			if p.joined && (!p.bound || p.holds(i)) {
+				p.due++
+			}
+		}
+	}
+	c.post(c.ring, redo{})
+}
+
+// climb is the share of its full weight that a server may have: it follows the slowest warming that the bootstrap
+// allows, in few steps, each at the capacity surely there when the step begins.
+func (b *backend) climb() float64 {
+	span, cold := b.c.boot.Num("warm_after", 10), b.c.boot.Num("cold_share", 0.3)
+	age := b.c.now - b.c.start[b.i]
+	if b.c.start[b.i] == 0 || age >= span || span <= 0 {
+		return 1
+	}
+	return cold + (1-cold)*math.Floor(max(age, 0)/span*climbSteps)/climbSteps
+}
+
+// judge benches a server that does badly while the others do not: one that aborts, hangs, or can't be reached,
+// for all zones or for the one from which it does. Silence proves nothing, and trouble of most servers is a jam.
+func (b *backend) judge() {
+	c, i := b.c, b.i
+	all, bad := 0.0, 0.0
+	for z := range c.tries[i] {
+		all, bad = all+c.tries[i][z], bad+c.bad[i][z]
+	}
+	for z := range c.tries[i] {
+		t, f := c.tries[i][z], c.bad[i][z]
+		pooled := all >= healthTries && bad > (healthBad+c.usualBad(z, i))*all && f >= healthBad*t
+		alone := t >= healthTries && f > (healthBad+c.usualBad(z, i))*t
+		if c.bench[i][z] > c.now || !pooled && !alone || !c.spare(z, i) {
+			continue
+		}
+		c.bench[i][z] = c.now + min(benchLeast*math.Exp2(float64(c.fouls[i][z])), benchMost)
+		c.fouls[i][z]++
+		c.post(c.ring, redo{})
+	}
+}
+
+// usualBad is the share of bad tries from a zone at all servers but one.
+func (c *Planner) usualBad(z, but int) float64 {
+	all, bad := 1.0, 0.0
+	for i := range c.id {
+		if i != but && z < len(c.tries[i]) && c.bench[i][z] <= c.now {
+			all, bad = all+c.tries[i][z], bad+c.bad[i][z]
+		}
+	}
+	return bad / all
+}
+
+// spare tells whether one more server can be benched for a zone: health never takes most of the fleet.
+func (c *Planner) spare(z, one int) bool {
+	all, out := 0.0, c.weight[one]
+	for i := range c.id {
+		if c.state[i] == Open {
+			all += c.weight[i]
+			if i != one && z < len(c.bench[i]) && c.bench[i][z] > c.now {
+				out += c.weight[i]
+			}
+		}
+	}
+	return out <= benchPart*all
+}
+
+// ring deals the arcs.
+type ring struct {
+	box
+	c     *Planner
+	dirty bool
+	sized Seconds
+}
+
+func (r *ring) take(n note) {
+	switch n.(type) {
+	case redo:
+		if !r.dirty { // once a round, after all other notes
+			r.dirty = true
+			r.c.post(r, flush{})
+		}
+	case flush:
+		r.dirty = false
+		r.deal()
+	case clock:
+		if r.c.now >= r.sized+1 && r.size() {
+			r.c.post(r, redo{})
+		}
+	}
+}
+
+// size sets the arcs' sizes from the proxies' usage and tells whether any moved.
+func (r *ring) size() (moved bool) {
+	c := r.c
+	r.sized = c.now
+	open, total := 0, 0.0
+	for i := range c.id {
+		if c.state[i] == Open {
+			open++
+		}
+	}
+	for _, p := range c.proxies {
+		if p.joined {
+			total += p.rate()
+		}
+	}
+	for _, p := range c.proxies {
+		if !p.joined || open == 0 {
+			continue
+		}
+		want := arcLeast
+		if total > 0 {
+			want = max(arcLeast, int(math.Round(p.rate()/total*coverage*float64(open))))
+		}
+		if want = min(want, open); p.size == 0 || want-p.size >= resizeBy || p.size-want >= resizeBy {
+			moved = moved || p.size != want
+			p.size = want
+		}
+	}
+	return moved
+}
+
+func (r *ring) deal() {
+	c := r.c
+	r.size()
+	var order []int
+	for i := range c.id {
+		if c.state[i] == Open {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if c.hash[a] != c.hash[b] {
+			return int(int64(c.hash[a]) - int64(c.hash[b]))
+		}
+		return int(int64(c.id[a]) - int64(c.id[b]))
+	})
+	cover := make([]int, len(c.id))
+	type walk struct {
+		p    *proxy
+		s    *sheet
+		path []int
+		took map[int]bool
+		end  int
+	}
+	var walks []*walk
+	for _, p := range c.proxies {
+		if !p.joined {
+			continue
+		}
+		for _, s := range p.sheets {
+			w := &walk{p: p, s: s, path: r.path(p, s, order), took: map[int]bool{}}
+			fill := 0.0
+			for k, i := range w.path {
+				if fill >= float64(p.size) {
+					break
+				}
+				w.end = k + 1
+				if c.bench[i][p.zone] > c.now {
+					continue
+				}
+				// A cold or shut server takes a place but does not fill one, so that an arc has enough warm weight.
+				if w.took[i] = true; !c.shut[i] {
+					fill += c.ease[i]
+				}
+				cover[i]++
+			}
+			walks = append(walks, w)
+		}
+	}
+	for _, i := range order {
+		for cover[i] < coverage {
+			var best *walk
+			gap := 0
+			for _, w := range walks {
+				at := slices.Index(w.path, i)
+				if at < 0 || w.took[i] || c.bench[i][w.p.zone] > c.now {
+					continue
+				}
+				if g := at - w.end; best == nil || g < gap {
+					best, gap = w, g
+				}
+			}
+			if best == nil {
+				break
+			}
+			best.took[i] = true
+			cover[i]++
+		}
+	}
+	for _, w := range walks {
+		var lines []line
+		for _, i := range w.path {
+			if w.took[i] {
+				lines = append(lines, line{i, c.weight[i] * c.ease[i]})
+			}
+		}
+		w.s.want = lines
+	}
+}
+
+// path is the order in which an arc takes servers: round the ring from the proxy's start.
+func (r *ring) path(p *proxy, s *sheet, order []int) []int {
+	c := r.c
+	var home []int
+	for _, i := range order {
+		if !s.near || c.zone[i] == p.zone {
+			home = append(home, i)
+		}
+	}
+	if len(home) == 0 {
+		return nil
+	}
+	at := int(float64(p.id) / max(c.boot.Num("proxies", 1), float64(p.id)+1) * float64(len(home)))
+	return append(slices.Clone(home[at:]), home[:at]...)
+}
+
+// proxy is the actor of one proxy: its tables and its clock.
+type proxy struct {
+	box
+	c         *Planner
+	id        Proxy
+	zone      int
+	joined    bool
+	bound     bool
+	size      int
+	usage     []float64 // RPCs a second, by method
+	sheets    []*sheet
+	version   int // of the newest push
+	confirmed int
+	flying    bool // a push is in flight,
+	mark      Mark // with this mark,
+	left      Seconds
+	sent      []Seconds // of the messages within the span that is limited
+	due       int       // lines for it in this step
+	clocked   bool      // this step's message is a push
+	share     []float64
+	tries     []Tries
+}
+
+func (c *Planner) proxy(id Proxy) *proxy {
+	at, ok := slices.BinarySearchFunc(c.proxies, id, func(p *proxy, id Proxy) int { return int(p.id - id) })
+	if ok {
+		return c.proxies[at]
+	}
+	methods := int(c.boot.Num("method.n", 1))
+	p := &proxy{c: c, id: id, usage: make([]float64, methods), share: c.gate.share, tries: c.gate.now()}
+	open, near := uint64(0), uint64(0)
+	for m := range methods {
+		if c.boot.Flag(fmt.Sprintf("method.%d.own_zone", m)) {
+			near |= 1 << m
+		} else {
+			open |= 1 << m
+		}
+	}
+	for k, mask := range []uint64{open, near} {
+		if mask != 0 {
+			p.sheets = append(p.sheets, &sheet{table: Table(2*int(id) + k), methods: mask, near: k == 1})
+		}
+	}
+	c.proxies = slices.Insert(c.proxies, at, p)
+	return p
+}
+
+func (p *proxy) take(n note) {
+	c := p.c
+	switch n := n.(type) {
+	case Joined:
+		// The stream is new: a push of the last one is forgotten, and nothing of ours is bound.
+		p.joined, p.bound, p.flying, p.due, p.sent, p.size = true, false, false, 0, nil, 0
+		p.zone = c.place(n.Zone)
+		for i := range c.id {
+			c.widen(i)
+		}
+		if p.rate() == 0 {
+			for m := range p.usage {
+				p.usage[m] = n.Rate / float64(len(p.usage))
+			}
+		}
+		c.post(c.ring, redo{})
+	case Left:
+		p.joined, p.bound, p.flying = false, false, false
+		c.post(c.ring, redo{})
+	case Answered:
+		if p.flying && n.Mark == p.mark {
+			p.flying, p.confirmed = false, p.version
+		}
+	case UsageSum:
+		keep := math.Exp(-n.Over / usageSpan)
+		if m := int(n.Method); m < len(p.usage) && n.Over > 0 {
+			p.usage[m] = p.usage[m]*keep + float64(n.RPCs)/n.Over*(1-keep)
+		}
+	case levels:
+		p.share, p.tries = n.share, n.tries
+	case flush:
+		if p.joined {
+			p.flush()
+		}
+	}
+}
+
+func (p *proxy) rate() (sum float64) {
+	for _, u := range p.usage {
+		sum += u
+	}
+	return sum
+}
+
+func (p *proxy) holds(i int) bool {
+	for _, s := range p.sheets {
+		if slices.ContainsFunc(s.told, func(l line) bool { return l.ep == i }) {
+			return true
+		}
+	}
+	return false
+}
+
+// flush sends what waits. The ordinary path is clocked by answers; guards are not.
+func (p *proxy) flush() {
+	c := p.c
+	silent := p.flying && c.now > p.left+silence*c.channel.usual
+	urgent, changed := false, !p.bound
+	for _, s := range p.sheets {
+		urgent = urgent || p.urgent(s)
+		changed = changed || p.differs(s)
+	}
+	switch {
+	case urgent && changed:
+	case silent:
+		changed = true
+	case p.flying || !changed:
+		return
+	}
+	if !urgent && !c.channel.room(p, p.cost()) {
+		return
+	}
+	full := !p.bound || silent
+	ready := false
+	for _, s := range p.sheets {
+		p.write(s)
+		if ready = ready || len(s.told) > 0; full && len(s.told) > 0 {
+			c.out = append(c.out, BindTable{p.id, s.table, s.methods})
+			p.due += 1 + len(s.told) + len(s.level)
+		}
+	}
+	if p.bound = p.bound || ready; !p.bound {
+		return
+	}
+	if p.due > 0 && (!p.flying || silent) {
+		p.clocked = true
+	}
+}
+
+func (p *proxy) cost() (lines int) {
+	for _, s := range p.sheets {
+		lines += len(s.want) + len(s.told) + len(p.usage) + 1
+	}
+	return lines
+}
+
+// urgent tells whether a table has lost all lines that may be used, or gives a cold server more than it may have;
+// such news can't wait for an answer.
+func (p *proxy) urgent(s *sheet) bool {
+	c := p.c
+	usable, better := false, false
+	for _, l := range s.told {
+		usable = usable || !c.shut[l.ep]
+		if c.ease[l.ep] < 1 && c.state[l.ep] == Open && l.w > 1.3*c.ease[l.ep]*c.weight[l.ep] {
+			return true
+		}
+	}
+	for _, l := range s.want {
+		better = better || !c.shut[l.ep]
+	}
+	return p.bound && !usable && better
+}
+
+func (p *proxy) differs(s *sheet) bool {
+	if len(s.want) > 0 && !slices.Equal(s.want, s.told) {
+		return true
+	}
+	for m := range p.share {
+		if s.methods>>m&1 == 1 && (len(s.level) == 0 || s.level[m] != p.level(m) || s.tries[m] != p.tries[m]) {
+			return len(s.want) > 0
+		}
+	}
+	return false
+}
+
+// level is what a table lets in of a method, in the unit that the proxies go by.
+func (p *proxy) level(m int) float64 {
+	if p.share[m] >= 1 || p.c.boot.Word("level_kind") != "rate" {
+		return p.share[m]
+	}
+	// Kept as it was while it differs little: each change is a line.
+	want, was := p.share[m]*max(p.usage[m], 0.1), 0.0
+	if s := p.sheets[0]; len(s.level) > m {
+		was = s.level[m]
+	}
+	if was > want/1.15 && was < want*1.15 {
+		return was
+	}
+	return want
+}
+
+// write brings a table to what it should hold; with no server to use, it keeps what it has.
+func (p *proxy) write(s *sheet) {
+	c := p.c
+	if len(s.want) == 0 {
+		return
+	}
+	old := map[int]float64{}
+	for _, l := range s.told {
+		old[l.ep] = l.w
+	}
+	for _, l := range s.want {
+		if old[l.ep] != l.w {
+			c.out = append(c.out, SetLine{s.table, c.id[l.ep], l.w})
+			p.due++
+		}
+		delete(old, l.ep)
+	}
+	for _, l := range s.told {
+		if _, ok := old[l.ep]; ok {
+			c.out = append(c.out, SetLine{s.table, c.id[l.ep], 0})
+			p.due++
+		}
+	}
+	s.told = slices.Clone(s.want)
+	if s.level == nil {
+		s.level, s.tries = make([]float64, len(p.share)), make([]Tries, len(p.share))
+		for m := range s.level {
+			s.level[m] = -1
+		}
+	}
+	for m := range p.share {
+		if level := p.level(m); s.methods>>m&1 == 1 && (s.level[m] != level || s.tries[m] != p.tries[m]) {
+			s.level[m], s.tries[m] = level, p.tries[m]
+			if c.boot.Word("level_kind") == "rate" && level == 1 {
+				level = 1e6
+			}
+			c.out = append(c.out, SetLevel{s.table, 1 << m, level, p.tries[m]})
+			p.due++
+		}
+	}
+}
+
+// readmit lets a withdrawn server in again once no table gives it more than it may have.
+func (c *Planner) readmit() {
+	for i := range c.id {
+		if !c.shut[i] || c.state[i] != Open {
+			continue
+		}
+		safe := true
+		for _, p := range c.proxies {
+			for _, s := range p.sheets {
+				for _, l := range s.told {
+					if l.ep == i && p.joined && l.w > 1.05*c.weight[i]*c.ease[i] {
+						safe = false
+					}
+				}
+			}
+		}
+		if safe {
+			c.shut[i] = false
+			c.out = append(c.out, Withdraw{c.id[i], false})
+			for _, p := range c.proxies {
+				if p.joined && p.holds(i) {
+					p.due++
+				}
+			}
+			c.post(c.ring, redo{})
+		}
+	}
+}
+
+// channel keeps count of what may still wait in it, and of marks and usual answer times.
+type channel struct {
+	box
+	c      *Planner
+	mark   Mark
+	usual  Seconds
+	ledger []load
+}
+
+func (h *channel) take(n note) {
+	switch n := n.(type) {
+	case heard:
+		// Messages leave in order: an answer shows that all sent before it have left.
+		at := slices.IndexFunc(h.ledger, func(l load) bool { return l.mark == n.mark })
+		if at >= 0 {
+			h.usual += 0.1 * (max(n.delay, h.c.now-h.ledger[at].at) - h.usual)
+			h.ledger = h.ledger[at:]
+		}
+	case clock:
+		// What broke off with a stream is never answered.
+		for len(h.ledger) > 0 && h.c.now > h.ledger[0].at+10 {
+			h.ledger = h.ledger[1:]
+		}
+	}
+}
+
+func (h *channel) lines() (sum int) {
+	for _, l := range h.ledger {
+		sum += l.lines
+	}
+	return sum
+}
+
+// room tells whether an ordinary push fits: part of the limits stays free for what can't be put off.
+func (h *channel) room(p *proxy, lines int) bool {
+	c := h.c
+	span := c.boot.Num("messages_span", 10)
+	for len(p.sent) > 0 && p.sent[0] < c.now-span-1 {
+		p.sent = p.sent[1:]
+	}
+	if most := c.boot.Num("messages", 0); most > 0 && float64(len(p.sent)+1) > ordinaryPart*most && p.bound {
+		return false
+	}
+	return float64(h.lines()+lines) < ordinaryPart*c.boot.Num("channel_room", math.Inf(1))
+}
+
+// seal closes the step: one mark for all its messages.
+func (c *Planner) seal() {
+	h := c.channel
+	lines := 0
+	next := (h.mark + 1) % MarkSpan
+	ahead := h.lines()
+	for _, p := range c.proxies {
+		if p.due == 0 || !p.joined {
+			p.due = 0
+			continue
+		}
+		lines += p.due + int(c.boot.Num("message_lines", 10)) + 1
+		p.sent = append(p.sent, c.now)
+		if p.clocked {
+			p.flying, p.mark, p.version = true, next, p.version+1
+			p.left = c.now + 4*float64(ahead+lines)/c.boot.Num("channel_pace", 1e4)
+		}
+		p.due, p.clocked = 0, false
+	}
+	if lines > 0 {
+		h.mark = next
+		h.ledger = append(h.ledger, load{next, c.now, lines})
+		c.out = append(c.out, SetMark{next, false})
+	}
+}
+
+// gate decides what is let in and when proxies try again.
+type gate struct {
+	box
+	c      *Planner
+	share  []float64
+	free   []Tries // while there is room
+	jammed bool
+	since  Seconds
+	next   Seconds
+}
+
+func newGate(c *Planner) *gate {
+	g := &gate{c: c}
+	for m := range int(c.boot.Num("method.n", 1)) {
+		at := fmt.Sprintf("method.%d.", m)
+		tries := TryProven
+		// A second send is at most one try's wait after the first; all servers must then still drop the repeat.
+		soon := c.boot.Num("try_wait", 1)*c.boot.Num(at+"soft_deadline", 1) < 0.9*c.boot.Num(at+"window", 0)
+		switch effect := c.boot.Word(at + "effect"); {
+		case effect == "idempotent":
+			tries = TryAgain
+		case effect == "tokened" && c.boot.Word(at+"group") == "all" && soon:
+			tries = TryAgain
+		}
+		g.share, g.free = append(g.share, 1), append(g.free, tries)
+	}
+	return g
+}
+
+// now gives the tries for the present: in a jam, second sends feed the jam.
+func (g *gate) now() []Tries {
+	if !g.jammed {
+		return g.free
+	}
+	cut := make([]Tries, len(g.free))
+	for m := range cut {
+		cut[m] = min(g.free[m], TryProven)
+	}
+	return cut
+}
+
+func (g *gate) take(n note) {
+	c := g.c
+	if _, ok := n.(clock); !ok || c.now < g.next {
+		return
+	}
+	jam, all := 0.0, 0.0
+	soft := math.Inf(1)
+	for m := range g.share {
+		soft = min(soft, c.boot.Num(fmt.Sprintf("method.%d.soft_deadline", m), 1))
+	}
+	for i := range c.id {
+		// Judged by the zone that fares best: a cut between zones is no jam.
+		best, met := math.Inf(1), false
+		for z := range c.tries[i] {
+			if t := c.tries[i][z]; t >= healthTries/2 && c.now-c.last[i][z] < 2*healthSpan {
+				met = true
+				best = min(best, max(c.bad[i][z]/t/jamBad, c.delay[i][z]/soft/jamDelay))
+			}
+		}
+		if met && c.state[i] == Open {
+			all++
+			if best > 1 {
+				jam++
+			}
+		}
+	}
+	if all == 0 {
+		return
+	}
+	was := g.jammed
+	if part := jam / all; part >= jamPart {
+		g.jammed, g.since = true, c.now
+	} else if part > jamPart/2 {
+		g.since = c.now
+	} else if c.now > g.since+3 {
+		g.jammed = false
+	}
+	share := g.step()
+	if was != g.jammed || !slices.Equal(share, g.share) {
+		g.share, g.next = share, c.now+2
+		for _, p := range c.proxies {
+			c.post(p, levels{g.share, g.now()})
+		}
+	}
+}
+
+// step sheds the lowest criticality first, and lets it in again last.
+func (g *gate) step() []float64 {
+	c, share := g.c, slices.Clone(g.share)
+	if c.boot.Word("level_kind") == "none" {
+		return share
+	}
+	worth := func(m int) float64 { return c.boot.Num(fmt.Sprintf("method.%d.criticality", m), 1) }
+	var steps []float64
+	for m := range share {
+		steps = append(steps, worth(m))
+	}
+	slices.Sort(steps)
+	steps = slices.Compact(steps)
+	if !g.jammed {
+		slices.Reverse(steps)
+	}
+	for _, w := range steps {
+		for m := range share {
+			if worth(m) != w {
+				continue
+			}
+			if g.jammed && c.now == g.since {
+				share[m] = max(0.1, share[m]-0.2)
+			} else if !g.jammed {
+				share[m] = min(1, share[m]+0.1)
+			}
+		}
+		if !slices.Equal(share, g.share) {
+			return share
+		}
+	}
+	return share
+}
--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,16 @@
+// Command wirehost plays the decisions on the simulator's wire: batches on standard input, replies on standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"gingerfork/internal/host"
+)
+
+func main() {
+	if err := host.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
