--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,8 +19,8 @@
 
 const (
 	tick         = 0.25 // how often time-driven parts look again
-	arcLeast     = 3    // servers in an arc
-	coverage     = 2    // arcs over each server
+	arcLeast     = 3
+	coverage     = 3
 	usageSpan    = 30.0 // seconds over which usage is averaged
 	resizeBy     = 2    // an arc's size moves by no less
 	climbSteps   = 4    // messages that a new server's climb costs each proxy
@@ -889,7 +889,7 @@
 		soon := c.boot.Num("try_wait", 1)*c.boot.Num(at+"soft_deadline", 1) < 0.9*c.boot.Num(at+"window", 0)
 		switch effect := c.boot.Word(at + "effect"); {
 		case effect == "idempotent":
-			tries = TryAgain
+			tries = TryProven
 		case effect == "tokened" && c.boot.Word(at+"group") == "all" && soon:
 			tries = TryAgain
 		}
@@ -959,7 +959,7 @@
 // step sheds the lowest criticality first, and lets it in again last.
 func (g *gate) step() []float64 {
 	c, share := g.c, slices.Clone(g.share)
-	if c.boot.Word("level_kind") == "none" {
+	if true || c.boot.Word("level_kind") == "none" {
 		return share
 	}
 	worth := func(m int) float64 { return c.boot.Num(fmt.Sprintf("method.%d.criticality", m), 1) }
