--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,6 +10,7 @@
 package choice
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
@@ -18,24 +19,27 @@
 )
 
 const (
-	tick         = 0.25 // how often time-driven parts look again
-	arcLeast     = 3
-	coverage     = 3
-	usageSpan    = 30.0 // seconds over which usage is averaged
-	resizeBy     = 2    // an arc's size moves by no less
-	climbSteps   = 4    // messages that a new server's climb costs each proxy
-	silence      = 4.0  // usual answer times without an answer that bring a full resend
-	healthSpan   = 3.0  // seconds over which tries are averaged for health
-	healthTries  = 4.0  // tries that a judgement needs
-	healthBad    = 0.4  // share of bad tries, beyond the fleet's, that benches a server
-	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
-	benchMost    = 20.0
-	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
-	probeEvery   = 1.0
-	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
-	jamDelay     = 0.5  // or a mean time of this much of the soft deadline
-	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
-	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use; the rest is for guards
+	tick          = 0.25 // how often time-driven parts look again
+	arcLeast      = 3
+	coverage      = 3
+	usageSpan     = 30.0 // seconds over which usage is averaged
+	crossingPrice = 0.03 // points an RPC from which arcs keep to their zone
+	spill         = 1.0  // of its part of the traffic, what a zone keeps
+	resizeBy      = 2    // an arc's size moves by no less
+	climbSteps    = 4    // messages that a new server's climb costs each proxy
+	silence       = 4.0  // usual answer times without an answer that bring a full resend
+	healthSpan    = 3.0  // seconds over which tries are averaged for health
+	healthTries   = 4.0  // tries that a judgement needs
+	healthBad     = 0.4  // share of bad tries, beyond the fleet's, that benches a server
+	benchLeast    = 5.0  // seconds on the bench the first time; doubled each time after
+	benchMost     = 20.0
+	benchPart     = 0.34 // most of a zone's view of the fleet that health may bench
+	probeEvery    = 1.0
+	jamBad        = 0.15 // share of bad tries in a server's own best zone that counts as a jam
+	jamDelay      = 0.8  // or a mean time of this much of the shortest soft deadline
+	gateSpan      = 4.0  // seconds over which the gate looks back
+	jamPart       = 0.5  // servers jammed together that mean overload, not single failures
+	ordinaryPart  = 0.6  // of the messages and lines allowed, what the ordinary path may use; the rest is for guards
 )
 
 // Planner is one instance.
@@ -119,6 +123,7 @@
 		c.post(c.channel, heard{e.Mark, e.Delay})
 		c.post(c.proxy(e.Proxy), e)
 	case UsageSum:
+		c.post(c.gate, e)
 		c.post(c.proxy(e.Proxy), e)
 	case TrySum:
 		if i, ok := c.index[e.EP]; ok {
@@ -387,7 +392,8 @@
 	return out <= benchPart*all
 }
 
-// ring deals the arcs.
+// ring deals the arcs. Where crossing between zones is priced, each zone has a ring of its own and its proxies' arcs lie
+// on that; a zone with more than its part of the traffic lets the rest of its arcs lie on the others' servers.
 type ring struct {
 	box
 	c     *Planner
@@ -406,87 +412,105 @@
 		r.dirty = false
 		r.deal()
 	case clock:
-		if r.c.now >= r.sized+1 && r.size() {
+		if r.c.now >= r.sized+1 {
+			r.sized = r.c.now
 			r.c.post(r, redo{})
 		}
 	}
 }
 
-// size sets the arcs' sizes from the proxies' usage and tells whether any moved.
-func (r *ring) size() (moved bool) {
-	c := r.c
-	r.sized = c.now
-	open, total := 0, 0.0
-	for i := range c.id {
-		if c.state[i] == Open {
-			open++
-		}
-	}
-	for _, p := range c.proxies {
-		if p.joined {
-			total += p.rate()
-		}
+// size sets an arc's size from its part of the usage on a ring; it moves by two or more, or not at all.
+func size(was *int, part float64, servers, least int) int {
+	want := min(max(least, int(math.Round(part*coverage*float64(servers)))), servers)
+	if *was == 0 || want-*was >= resizeBy || *was-want >= resizeBy || *was > servers {
+		*was = want
 	}
-	for _, p := range c.proxies {
-		if !p.joined || open == 0 {
-			continue
-		}
-		want := arcLeast
-		if total > 0 {
-			want = max(arcLeast, int(math.Round(p.rate()/total*coverage*float64(open))))
-		}
-		if want = min(want, open); p.size == 0 || want-p.size >= resizeBy || p.size-want >= resizeBy {
-			moved = moved || p.size != want
-			p.size = want
+	return *was
+}
+
+// walk is the way one arc takes: the servers in the order in which it would take them, and those that it takes.
+type walk struct {
+	p    *proxy
+	path []int
+	took []bool
+	end  int
+}
+
+// step takes servers from the path until they fill so many places. One that is cold or shut takes a place but does not
+// fill it, so that an arc has enough warm weight beside a cold server; one on the bench is passed over.
+func (w *walk) step(c *Planner, fill float64, cover []int) {
+	for ; fill > 0.01 && w.end < len(w.path); w.end++ {
+		if i := w.path[w.end]; c.bench[i][w.p.zone] <= c.now && !w.took[i] {
+			w.took[i] = true
+			cover[i]++
+			if !c.shut[i] {
+				fill -= c.ease[i]
+			}
 		}
 	}
-	return moved
 }
 
 func (r *ring) deal() {
 	c := r.c
-	r.size()
 	var order []int
+	room := make([]float64, len(c.zones)) // by zone, and what is asked of it
+	asked := make([]float64, len(c.zones))
+	rooms, asks := 0.0, 1e-9
 	for i := range c.id {
-		if c.state[i] == Open {
+		if c.widen(i); c.state[i] == Open {
 			order = append(order, i)
+			if !c.shut[i] && c.bench[i][c.zone[i]] <= c.now {
+				room[c.zone[i]] += c.weight[i] * c.ease[i]
+				rooms += c.weight[i] * c.ease[i]
+			}
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		if c.hash[a] != c.hash[b] {
-			return int(int64(c.hash[a]) - int64(c.hash[b]))
+	slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(c.hash[a], c.hash[b]), cmp.Compare(c.id[a], c.id[b])) })
+	for _, p := range c.proxies {
+		if p.joined {
+			asked[p.zone] += p.rate() + 1e-9
+			asks += p.rate()
 		}
-		return int(int64(c.id[a]) - int64(c.id[b]))
-	})
-	cover := make([]int, len(c.id))
-	type walk struct {
-		p    *proxy
-		s    *sheet
-		path []int
-		took map[int]bool
-		end  int
 	}
+	zoned := c.boot.Num("price.crossing", 0) >= crossingPrice
+	cover := make([]int, len(c.id))
+	home, away := make([]int, len(c.zones)), 0 // where on each ring the next arc starts
 	var walks []*walk
 	for _, p := range c.proxies {
 		if !p.joined {
 			continue
 		}
-		for _, s := range p.sheets {
-			w := &walk{p: p, s: s, path: r.path(p, s, order), took: map[int]bool{}}
-			fill := 0.0
-			for k, i := range w.path {
-				if fill >= float64(p.size) {
-					break
-				}
-				w.end = k + 1
-				if c.bench[i][p.zone] > c.now {
-					continue
-				}
-				// A cold or shut server takes a place but does not fill one, so that an arc has enough warm weight.
-				if w.took[i] = true; !c.shut[i] {
-					fill += c.ease[i]
-				}
-				cover[i]++
+		near, far := []int{}, []int{}
+		for _, i := range order {
+			if c.zone[i] == p.zone {
+				near = append(near, i)
+			} else {
+				far = append(far, i)
+			}
+		}
+		for k, s := range p.sheets {
+			w := &walk{p: p, took: make([]bool, len(c.id))}
+			switch {
+			case s.near:
+				n := size(&p.size[k], p.rate()/asked[p.zone], len(near), arcLeast)
+				w.path = turn(near, home[p.zone])
+				w.step(c, float64(n), cover)
+			case zoned && len(near) > 0 && room[p.zone] > 0:
+				n := size(&p.size[k], p.rate()/asks, len(order), arcLeast)
+				stay := min(1, spill*room[p.zone]/rooms/(asked[p.zone]/asks))
+				w.path = turn(near, home[p.zone])
+				in := min(math.Round(float64(n)*stay), float64(len(near)))
+				w.step(c, in, cover)
+				home[p.zone] += int(in)
+				out := float64(n) - in
+				w.path = append(w.path[:w.end], turn(far, away)...)
+				w.step(c, out, cover)
+				away += int(out)
+			default:
+				n := size(&p.size[k], p.rate()/asks, len(order), arcLeast)
+				w.path = turn(order, away)
+				w.step(c, float64(n), cover)
+				away += n
 			}
 			walks = append(walks, w)
 		}
@@ -511,31 +535,29 @@
 			cover[i]++
 		}
 	}
-	for _, w := range walks {
-		var lines []line
-		for _, i := range w.path {
-			if w.took[i] {
-				lines = append(lines, line{i, c.weight[i] * c.ease[i]})
+	k := 0
+	for _, p := range c.proxies {
+		for _, s := range p.sheets {
+			if p.joined {
+				s.want = nil
+				for _, i := range order {
+					if walks[k].took[i] {
+						s.want = append(s.want, line{i, c.weight[i] * c.ease[i]})
+					}
+				}
+				k++
 			}
 		}
-		w.s.want = lines
 	}
 }
 
-// path is the order in which an arc takes servers: round the ring from the proxy's start.
-func (r *ring) path(p *proxy, s *sheet, order []int) []int {
-	c := r.c
-	var home []int
-	for _, i := range order {
-		if !s.near || c.zone[i] == p.zone {
-			home = append(home, i)
-		}
-	}
-	if len(home) == 0 {
+// turn turns a ring so that it begins at a place.
+func turn(ring []int, at int) []int {
+	if len(ring) == 0 {
 		return nil
 	}
-	at := int(float64(p.id) / max(c.boot.Num("proxies", 1), float64(p.id)+1) * float64(len(home)))
-	return append(slices.Clone(home[at:]), home[:at]...)
+	at %= len(ring)
+	return slices.Concat(ring[at:], ring[:at])
 }
 
 // proxy is the actor of one proxy: its tables and its clock.
@@ -546,8 +568,9 @@
 	zone      int
 	joined    bool
 	bound     bool
-	size      int
+	size      [2]int    // of its arcs, by sheet
 	usage     []float64 // RPCs a second, by method
+	summed    []Seconds // when each was last told
 	sheets    []*sheet
 	version   int // of the newest push
 	confirmed int
@@ -567,7 +590,7 @@
 		return c.proxies[at]
 	}
 	methods := int(c.boot.Num("method.n", 1))
-	p := &proxy{c: c, id: id, usage: make([]float64, methods), share: c.gate.share, tries: c.gate.now()}
+	p := &proxy{c: c, id: id, usage: make([]float64, methods), summed: make([]Seconds, methods), share: c.gate.share, tries: c.gate.now()}
 	open, near := uint64(0), uint64(0)
 	for m := range methods {
 		if c.boot.Flag(fmt.Sprintf("method.%d.own_zone", m)) {
@@ -590,14 +613,14 @@
 	switch n := n.(type) {
 	case Joined:
 		// The stream is new: a push of the last one is forgotten, and nothing of ours is bound.
-		p.joined, p.bound, p.flying, p.due, p.sent, p.size = true, false, false, 0, nil, 0
+		p.joined, p.bound, p.flying, p.due, p.sent, p.size = true, false, false, 0, nil, [2]int{}
 		p.zone = c.place(n.Zone)
 		for i := range c.id {
 			c.widen(i)
 		}
 		if p.rate() == 0 {
 			for m := range p.usage {
-				p.usage[m] = n.Rate / float64(len(p.usage))
+				p.usage[m], p.summed[m] = n.Rate/float64(len(p.usage)), c.now
 			}
 		}
 		c.post(c.ring, redo{})
@@ -609,9 +632,10 @@
 			p.flying, p.confirmed = false, p.version
 		}
 	case UsageSum:
-		keep := math.Exp(-n.Over / usageSpan)
-		if m := int(n.Method); m < len(p.usage) && n.Over > 0 {
-			p.usage[m] = p.usage[m]*keep + float64(n.RPCs)/n.Over*(1-keep)
+		// A proxy with nothing to tell sends no sum, so the average fades with the time since the last.
+		if m := int(n.Method); m < len(p.usage) {
+			p.usage[m] = p.usage[m]*math.Exp(-(c.now-p.summed[m])/usageSpan) + float64(n.RPCs)/usageSpan
+			p.summed[m] = c.now
 		}
 	case levels:
 		p.share, p.tries = n.share, n.tries
@@ -875,13 +899,18 @@
 	c      *Planner
 	share  []float64
 	free   []Tries // while there is room
+	worth  []float64
+	came   []float64 // RPCs a second of late, by method
+	soft   Seconds   // the shortest soft deadline
+	limit  float64   // RPCs a second that are let in
 	jammed bool
 	since  Seconds
+	cut    Seconds
 	next   Seconds
 }
 
 func newGate(c *Planner) *gate {
-	g := &gate{c: c}
+	g := &gate{c: c, limit: math.Inf(1), soft: math.Inf(1)}
 	for m := range int(c.boot.Num("method.n", 1)) {
 		at := fmt.Sprintf("method.%d.", m)
 		tries := TryProven
@@ -894,6 +923,8 @@
 			tries = TryAgain
 		}
 		g.share, g.free = append(g.share, 1), append(g.free, tries)
+		g.worth, g.came = append(g.worth, c.boot.Num(at+"criticality", 1)), append(g.came, 0)
+		g.soft = min(g.soft, c.boot.Num(at+"soft_deadline", 1))
 	}
 	return g
 }
@@ -912,21 +943,35 @@
 
 func (g *gate) take(n note) {
 	c := g.c
-	if _, ok := n.(clock); !ok || c.now < g.next {
-		return
-	}
-	jam, all := 0.0, 0.0
-	soft := math.Inf(1)
-	for m := range g.share {
-		soft = min(soft, c.boot.Num(fmt.Sprintf("method.%d.soft_deadline", m), 1))
+	switch n := n.(type) {
+	case UsageSum:
+		if m := int(n.Method); m < len(g.came) {
+			g.came[m] += float64(n.RPCs) / gateSpan
+		}
+	case clock:
+		for m := range g.came {
+			g.came[m] *= math.Exp(-tick / gateSpan)
+		}
+		if c.now >= g.next {
+			g.next = c.now + 1
+			g.look()
+		}
 	}
+}
+
+// look tells a jam from single failures: most servers do badly together, each judged by the zone that fares best
+// with it, as a cut between zones is no jam.
+func (g *gate) look() {
+	c := g.c
+	jam, all, good := 0.0, 0.0, 0.0
 	for i := range c.id {
-		// Judged by the zone that fares best: a cut between zones is no jam.
 		best, met := math.Inf(1), false
 		for z := range c.tries[i] {
-			if t := c.tries[i][z]; t >= healthTries/2 && c.now-c.last[i][z] < 2*healthSpan {
+			fade := math.Exp(-(c.now - c.last[i][z]) / healthSpan)
+			good += (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan
+			if t := c.tries[i][z]; t >= healthTries/2 && fade > 0.2 {
 				met = true
-				best = min(best, max(c.bad[i][z]/t/jamBad, c.delay[i][z]/soft/jamDelay))
+				best = min(best, max(c.bad[i][z]/t/jamBad, c.delay[i][z]/g.soft/jamDelay))
 			}
 		}
 		if met && c.state[i] == Open {
@@ -936,56 +981,55 @@
 			}
 		}
 	}
-	if all == 0 {
-		return
-	}
 	was := g.jammed
-	if part := jam / all; part >= jamPart {
+	switch {
+	case all == 0:
+		return
+	case jam >= jamPart*all:
 		g.jammed, g.since = true, c.now
-	} else if part > jamPart/2 {
+		// What was answered is what can be: letting in a little less lets the queues run off.
+		if c.now >= g.cut+gateSpan/2 {
+			g.cut, g.limit = c.now, max(min(g.limit, good*0.95), g.limit*0.5, 0)
+			if math.IsInf(g.limit, 1) {
+				g.limit = good * 0.95
+			}
+		}
+	case jam > jamPart/2*all:
 		g.since = c.now
-	} else if c.now > g.since+3 {
-		g.jammed = false
+	default:
+		g.jammed = g.jammed && c.now < g.since+gateSpan
+		g.limit *= 1.05
 	}
-	share := g.step()
+	share := g.shares()
 	if was != g.jammed || !slices.Equal(share, g.share) {
-		g.share, g.next = share, c.now+2
+		g.share = share
 		for _, p := range c.proxies {
 			c.post(p, levels{g.share, g.now()})
 		}
 	}
 }
 
-// step sheds the lowest criticality first, and lets it in again last.
-func (g *gate) step() []float64 {
-	c, share := g.c, slices.Clone(g.share)
-	if true || c.boot.Word("level_kind") == "none" {
-		return share
-	}
-	worth := func(m int) float64 { return c.boot.Num(fmt.Sprintf("method.%d.criticality", m), 1) }
-	var steps []float64
+// shares sheds the lowest criticality first.
+func (g *gate) shares() []float64 {
+	c, share := g.c, make([]float64, len(g.share))
+	over, order := -g.limit, make([]int, len(share))
 	for m := range share {
-		steps = append(steps, worth(m))
+		share[m], order[m] = 1, m
+		over += g.came[m]
 	}
-	slices.Sort(steps)
-	steps = slices.Compact(steps)
-	if !g.jammed {
-		slices.Reverse(steps)
+	if over < -0.1*g.limit {
+		g.limit = math.Inf(1)
 	}
-	for _, w := range steps {
-		for m := range share {
-			if worth(m) != w {
-				continue
-			}
-			if g.jammed && c.now == g.since {
-				share[m] = max(0.1, share[m]-0.2)
-			} else if !g.jammed {
-				share[m] = min(1, share[m]+0.1)
-			}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(g.worth[a], g.worth[b]) })
+	for k := 0; k < len(order) && over > 0 && c.boot.Word("level_kind") != "none"; {
+		end, came := k, 0.0
+		for ; end < len(order) && g.worth[order[end]] == g.worth[order[k]]; end++ {
+			came += g.came[order[end]]
 		}
-		if !slices.Equal(share, g.share) {
-			return share
+		for ; k < end; k++ {
+			share[order[k]] = math.Round(max(0.05, 1-over/max(came, 0.01))*20) / 20
 		}
+		over -= 0.95 * came
 	}
 	return share
 }
