--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,17 +21,18 @@
 const (
 	tick          = 0.25 // how often time-driven parts look again
 	arcLeast      = 3
-	coverage      = 3
-	usageSpan     = 30.0 // seconds over which usage is averaged
-	crossingPrice = 0.03 // points an RPC from which arcs keep to their zone
-	spill         = 1.0  // of its part of the traffic, what a zone keeps
-	resizeBy      = 2    // an arc's size moves by no less
-	climbSteps    = 4    // messages that a new server's climb costs each proxy
-	silence       = 4.0  // usual answer times without an answer that bring a full resend
-	healthSpan    = 3.0  // seconds over which tries are averaged for health
-	healthTries   = 4.0  // tries that a judgement needs
-	healthBad     = 0.4  // share of bad tries, beyond the fleet's, that benches a server
-	benchLeast    = 5.0  // seconds on the bench the first time; doubled each time after
+	coverage      = 2     // arcs over each server
+	arcMean       = 6.0   // servers in an arc, on average
+	usageSpan     = 30.0  // seconds over which usage is averaged
+	crossingPrice = 0.001 // points an RPC from which arcs keep to their zone
+	spill         = 1.0   // of its part of the traffic, what a zone keeps
+	resizeBy      = 2     // an arc's size moves by no less
+	climbSteps    = 4     // messages that a new server's climb costs each proxy
+	silence       = 4.0   // usual answer times without an answer that bring a full resend
+	healthSpan    = 3.0   // seconds over which tries are averaged for health
+	healthTries   = 4.0   // tries that a judgement needs
+	healthBad     = 0.4   // share of bad tries, beyond the fleet's, that benches a server
+	benchLeast    = 5.0   // seconds on the bench the first time; doubled each time after
 	benchMost     = 20.0
 	benchPart     = 0.34 // most of a zone's view of the fleet that health may bench
 	probeEvery    = 1.0
@@ -420,8 +421,8 @@
 }
 
 // size sets an arc's size from its part of the usage on a ring; it moves by two or more, or not at all.
-func size(was *int, part float64, servers, least int) int {
-	want := min(max(least, int(math.Round(part*coverage*float64(servers)))), servers)
+func size(was *int, part, lines float64, servers int) int {
+	want := min(max(arcLeast, int(math.Round(part*lines))), servers)
 	if *was == 0 || want-*was >= resizeBy || *was-want >= resizeBy || *was > servers {
 		*was = want
 	}
@@ -455,7 +456,7 @@
 	var order []int
 	room := make([]float64, len(c.zones)) // by zone, and what is asked of it
 	asked := make([]float64, len(c.zones))
-	rooms, asks := 0.0, 1e-9
+	rooms, asks, joined := 0.0, 1e-9, 0.0
 	for i := range c.id {
 		if c.widen(i); c.state[i] == Open {
 			order = append(order, i)
@@ -470,8 +471,10 @@
 		if p.joined {
 			asked[p.zone] += p.rate() + 1e-9
 			asks += p.rate()
+			joined++
 		}
 	}
+	lines := max(coverage*float64(len(order)), arcMean*joined)
 	zoned := c.boot.Num("price.crossing", 0) >= crossingPrice
 	cover := make([]int, len(c.id))
 	home, away := make([]int, len(c.zones)), 0 // where on each ring the next arc starts
@@ -492,11 +495,11 @@
 			w := &walk{p: p, took: make([]bool, len(c.id))}
 			switch {
 			case s.near:
-				n := size(&p.size[k], p.rate()/asked[p.zone], len(near), arcLeast)
+				n := size(&p.size[k], p.rate()/asked[p.zone], lines, len(near))
 				w.path = turn(near, home[p.zone])
 				w.step(c, float64(n), cover)
 			case zoned && len(near) > 0 && room[p.zone] > 0:
-				n := size(&p.size[k], p.rate()/asks, len(order), arcLeast)
+				n := size(&p.size[k], p.rate()/asks, lines, len(order))
 				stay := min(1, spill*room[p.zone]/rooms/(asked[p.zone]/asks))
 				w.path = turn(near, home[p.zone])
 				in := min(math.Round(float64(n)*stay), float64(len(near)))
@@ -507,7 +510,7 @@
 				w.step(c, out, cover)
 				away += int(out)
 			default:
-				n := size(&p.size[k], p.rate()/asks, len(order), arcLeast)
+				n := size(&p.size[k], p.rate()/asks, lines, len(order))
 				w.path = turn(order, away)
 				w.step(c, float64(n), cover)
 				away += n
