--- a/choice/choice.go
+++ b/choice/choice.go
@@ -11,9 +11,7 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
 	"math"
 	"slices"
 )
@@ -44,24 +42,6 @@
 )
 
 // Planner is one instance.
-type Planner struct {
-	boot  Bootstrap
-	now   Seconds
-	count uint32
-	figures
-	eps     []*backend
-	index   map[EP]int
-	zones   map[Zone]int
-	proxies []*proxy // by number
-	roll    *roll
-	ring    *ring
-	gate    *gate
-	channel *channel
-	waiting []part
-	out     []Order
-	alarm   Seconds
-}
-
 // New makes an instance.
 func New(b Bootstrap) *Planner {
 	c := &Planner{boot: b, now: b.Now, index: map[EP]int{}, zones: map[Zone]int{}}
@@ -100,88 +80,9 @@
 	return c.out
 }
 
-func (c *Planner) parts() []part {
-	all := []part{c.roll, c.gate, c.channel}
-	for _, e := range c.eps {
-		all = append(all, e)
-	}
-	for _, p := range c.proxies {
-		all = append(all, p)
-	}
-	return append(all, c.ring)
-}
-
 // route puts an event into the inbox of the part that it concerns.
-func (c *Planner) route(e Event) {
-	switch e := e.(type) {
-	case Listed:
-		c.post(c.roll, e)
-	case Joined:
-		c.post(c.proxy(e.Proxy), e)
-	case Left:
-		c.post(c.proxy(e.Proxy), e)
-	case Answered:
-		c.post(c.channel, heard{e.Mark, e.Delay})
-		c.post(c.proxy(e.Proxy), e)
-	case UsageSum:
-		c.post(c.gate, e)
-		c.post(c.proxy(e.Proxy), e)
-	case TrySum:
-		if i, ok := c.index[e.EP]; ok {
-			c.post(c.eps[i], e)
-		}
-	case Probed:
-		if i, ok := c.index[e.EP]; ok {
-			c.post(c.eps[i], e)
-		}
-	}
-}
-
-func (c *Planner) post(to part, n note) {
-	b := to.inbox()
-	if b.notes = append(b.notes, n); len(b.notes) == 1 {
-		c.waiting = append(c.waiting, to)
-	}
-}
-
-func (c *Planner) loop() {
-	for len(c.waiting) > 0 {
-		p := c.waiting[0]
-		c.waiting = c.waiting[1:]
-		notes := p.inbox().notes
-		p.inbox().notes = nil
-		for _, n := range notes {
-			p.take(n)
-		}
-	}
-}
-
 // chance draws from 0 to 1.
-func (c *Planner) chance() float64 {
-	c.count++
-	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint64(nil, c.boot.Seed), c.count)
-	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
-}
-
-func (c *Planner) place(z Zone) int {
-	i, ok := c.zones[z]
-	if !ok {
-		i = len(c.zones)
-		c.zones[z] = i
-	}
-	return i
-}
-
 // roll keeps the list of servers, and sees to it that news of it keeps coming.
-type roll struct {
-	box
-	c     *Planner
-	ask   Seconds // when to ask again
-	tried int     // failures in a row
-	asked bool
-	fresh bool // a list newer than the one kept over the start has come
-}
-
 func (r *roll) take(n note) {
 	c := r.c
 	switch n := n.(type) {
@@ -191,11 +92,10 @@
 			// but well inside the time after which we would count as told.
 			r.tried = min(r.tried+1, 4)
 			r.ask = c.now + min(0.25*math.Exp2(float64(r.tried)), c.boot.Num("ask_within", 10)/3)*(0.5+c.chance())
-			r.asked = false
 			return
 		}
 		if n.Kind != ListKept {
-			r.tried, r.fresh, r.ask = 0, true, math.Inf(1)
+			r.tried, r.ask = 0, math.Inf(1)
 		}
 		listed := map[int]bool{}
 		for _, e := range n.Entries {
@@ -220,44 +120,12 @@
 	if r.c.boot.Word("listing") == "asked" && r.c.now >= r.ask {
 		r.c.out = append(r.c.out, Watch{true})
 		// An answer that never comes must not leave us deaf.
-		r.asked, r.ask = true, r.c.now+r.c.boot.Num("ask_within", 10)/2
+		r.ask = r.c.now + r.c.boot.Num("ask_within", 10)/2
 	}
 }
 
 // backend is the actor of one server.
-type backend struct {
-	box
-	c *Planner
-	i int
-}
-
-func (c *Planner) backend(id EP) int {
-	if i, ok := c.index[id]; ok {
-		return i
-	}
-	i := len(c.id)
-	c.index[id] = i
-	c.eps = append(c.eps, &backend{c: c, i: i})
-	c.id, c.zone, c.weight = append(c.id, id), append(c.zone, 0), append(c.weight, 1)
-	c.state, c.start = append(c.state, Gone), append(c.start, 0)
-	c.hash = append(c.hash, crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id))))
-	c.ease, c.shut, c.probe = append(c.ease, 1), append(c.shut, false), append(c.probe, 0)
-	c.tries, c.bad = append(c.tries, nil), append(c.bad, nil)
-	c.delay, c.last = append(c.delay, nil), append(c.last, nil)
-	c.bench, c.fouls = append(c.bench, nil), append(c.fouls, nil)
-	c.widen(i)
-	return i
-}
-
 // widen makes room for zones met since.
-func (c *Planner) widen(i int) {
-	for len(c.tries[i]) < len(c.zones) {
-		c.tries[i], c.bad[i] = append(c.tries[i], 0), append(c.bad[i], 0)
-		c.delay[i], c.last[i] = append(c.delay[i], 0), append(c.last[i], 0)
-		c.bench[i], c.fouls[i] = append(c.bench[i], 0), append(c.fouls[i], 0)
-	}
-}
-
 func (b *backend) take(n note) {
 	c, i := b.c, b.i
 	switch n := n.(type) {
@@ -309,9 +177,8 @@
 
 func (b *backend) listed(e Entry) {
 	c, i := b.c, b.i
-	c.zone[i] = c.place(e.Zone)
 	if e.State != Gone {
-		c.weight[i] = max(e.Weight, 1e-3)
+		c.zone[i], c.weight[i] = c.place(e.Zone), max(e.Weight, 1e-3)
 	}
 	c.widen(i)
 	if e.State == Open && e.Start > c.start[i] {
@@ -395,13 +262,6 @@
 
 // ring deals the arcs. Where crossing between zones is priced, each zone has a ring of its own and its proxies' arcs lie
 // on that; a zone with more than its part of the traffic lets the rest of its arcs lie on the others' servers.
-type ring struct {
-	box
-	c     *Planner
-	dirty bool
-	sized Seconds
-}
-
 func (r *ring) take(n note) {
 	switch n.(type) {
 	case redo:
@@ -430,13 +290,6 @@
 }
 
 // walk is the way one arc takes: the servers in the order in which it would take them, and those that it takes.
-type walk struct {
-	p    *proxy
-	path []int
-	took []bool
-	end  int
-}
-
 // step takes servers from the path until they fill so many places. One that is cold or shut takes a place but does not
 // fill it, so that an arc has enough warm weight beside a cold server; one on the bench is passed over.
 func (w *walk) step(c *Planner, fill float64, cover []int) {
@@ -555,62 +408,7 @@
 }
 
 // turn turns a ring so that it begins at a place.
-func turn(ring []int, at int) []int {
-	if len(ring) == 0 {
-		return nil
-	}
-	at %= len(ring)
-	return slices.Concat(ring[at:], ring[:at])
-}
-
 // proxy is the actor of one proxy: its tables and its clock.
-type proxy struct {
-	box
-	c         *Planner
-	id        Proxy
-	zone      int
-	joined    bool
-	bound     bool
-	size      [2]int    // of its arcs, by sheet
-	usage     []float64 // RPCs a second, by method
-	summed    []Seconds // when each was last told
-	sheets    []*sheet
-	version   int // of the newest push
-	confirmed int
-	flying    bool // a push is in flight,
-	mark      Mark // with this mark,
-	left      Seconds
-	sent      []Seconds // of the messages within the span that is limited
-	due       int       // lines for it in this step
-	clocked   bool      // this step's message is a push
-	share     []float64
-	tries     []Tries
-}
-
-func (c *Planner) proxy(id Proxy) *proxy {
-	at, ok := slices.BinarySearchFunc(c.proxies, id, func(p *proxy, id Proxy) int { return int(p.id - id) })
-	if ok {
-		return c.proxies[at]
-	}
-	methods := int(c.boot.Num("method.n", 1))
-	p := &proxy{c: c, id: id, usage: make([]float64, methods), summed: make([]Seconds, methods), share: c.gate.share, tries: c.gate.now()}
-	open, near := uint64(0), uint64(0)
-	for m := range methods {
-		if c.boot.Flag(fmt.Sprintf("method.%d.own_zone", m)) {
-			near |= 1 << m
-		} else {
-			open |= 1 << m
-		}
-	}
-	for k, mask := range []uint64{open, near} {
-		if mask != 0 {
-			p.sheets = append(p.sheets, &sheet{table: Table(2*int(id) + k), methods: mask, near: k == 1})
-		}
-	}
-	c.proxies = slices.Insert(c.proxies, at, p)
-	return p
-}
-
 func (p *proxy) take(n note) {
 	c := p.c
 	switch n := n.(type) {
@@ -649,22 +447,6 @@
 	}
 }
 
-func (p *proxy) rate() (sum float64) {
-	for _, u := range p.usage {
-		sum += u
-	}
-	return sum
-}
-
-func (p *proxy) holds(i int) bool {
-	for _, s := range p.sheets {
-		if slices.ContainsFunc(s.told, func(l line) bool { return l.ep == i }) {
-			return true
-		}
-	}
-	return false
-}
-
 // flush sends what waits. The ordinary path is clocked by answers; guards are not.
 func (p *proxy) flush() {
 	c := p.c
@@ -701,13 +483,6 @@
 	}
 }
 
-func (p *proxy) cost() (lines int) {
-	for _, s := range p.sheets {
-		lines += len(s.want) + len(s.told) + len(p.usage) + 1
-	}
-	return lines
-}
-
 // urgent tells whether a table has lost all lines that may be used, or gives a cold server more than it may have;
 // such news can't wait for an answer.
 func (p *proxy) urgent(s *sheet) bool {
@@ -825,14 +600,6 @@
 }
 
 // channel keeps count of what may still wait in it, and of marks and usual answer times.
-type channel struct {
-	box
-	c      *Planner
-	mark   Mark
-	usual  Seconds
-	ledger []load
-}
-
 func (h *channel) take(n note) {
 	switch n := n.(type) {
 	case heard:
@@ -850,13 +617,6 @@
 	}
 }
 
-func (h *channel) lines() (sum int) {
-	for _, l := range h.ledger {
-		sum += l.lines
-	}
-	return sum
-}
-
 // room tells whether an ordinary push fits: part of the limits stays free for what can't be put off.
 func (h *channel) room(p *proxy, lines int) bool {
 	c := h.c
@@ -897,21 +657,6 @@
 }
 
 // gate decides what is let in and when proxies try again.
-type gate struct {
-	box
-	c      *Planner
-	share  []float64
-	free   []Tries // while there is room
-	worth  []float64
-	came   []float64 // RPCs a second of late, by method
-	soft   Seconds   // the shortest soft deadline
-	limit  float64   // RPCs a second that are let in
-	jammed bool
-	since  Seconds
-	cut    Seconds
-	next   Seconds
-}
-
 func newGate(c *Planner) *gate {
 	g := &gate{c: c, limit: math.Inf(1), soft: math.Inf(1)}
 	for m := range int(c.boot.Num("method.n", 1)) {
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,259 @@
+package choice
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"slices"
+)
+
+// The parts' state and the loop that carries their notes. No decision is taken here.
+
+type Planner struct {
+	boot  Bootstrap
+	now   Seconds
+	count uint32
+	figures
+	eps     []*backend
+	index   map[EP]int
+	zones   map[Zone]int
+	proxies []*proxy // by number
+	roll    *roll
+	ring    *ring
+	gate    *gate
+	channel *channel
+	waiting []part
+	out     []Order
+	alarm   Seconds
+}
+
+func (c *Planner) parts() []part {
+	all := []part{c.roll, c.gate, c.channel}
+	for _, e := range c.eps {
+		all = append(all, e)
+	}
+	for _, p := range c.proxies {
+		all = append(all, p)
+	}
+	return append(all, c.ring)
+}
+
+func (c *Planner) route(e Event) {
+	switch e := e.(type) {
+	case Listed:
+		c.post(c.roll, e)
+	case Joined:
+		c.post(c.proxy(e.Proxy), e)
+	case Left:
+		c.post(c.proxy(e.Proxy), e)
+	case Answered:
+		c.post(c.channel, heard{e.Mark, e.Delay})
+		c.post(c.proxy(e.Proxy), e)
+	case UsageSum:
+		c.post(c.gate, e)
+		c.post(c.proxy(e.Proxy), e)
+	case TrySum:
+		if i, ok := c.index[e.EP]; ok {
+			c.post(c.eps[i], e)
+		}
+	case Probed:
+		if i, ok := c.index[e.EP]; ok {
+			c.post(c.eps[i], e)
+		}
+	}
+}
+
+func (c *Planner) post(to part, n note) {
+	b := to.inbox()
+	if b.notes = append(b.notes, n); len(b.notes) == 1 {
+		c.waiting = append(c.waiting, to)
+	}
+}
+
+func (c *Planner) loop() {
+	for len(c.waiting) > 0 {
+		p := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		notes := p.inbox().notes
+		p.inbox().notes = nil
+		for _, n := range notes {
+			p.take(n)
+		}
+	}
+}
+
+func (c *Planner) chance() float64 {
+	c.count++
+	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint64(nil, c.boot.Seed), c.count)
+	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+}
+
+func (c *Planner) place(z Zone) int {
+	i, ok := c.zones[z]
+	if !ok {
+		i = len(c.zones)
+		c.zones[z] = i
+	}
+	return i
+}
+
+type roll struct {
+	box
+	c     *Planner
+	ask   Seconds // when to ask again
+	tried int     // failures in a row
+}
+
+type backend struct {
+	box
+	c *Planner
+	i int
+}
+
+func (c *Planner) backend(id EP) int {
+	if i, ok := c.index[id]; ok {
+		return i
+	}
+	i := len(c.id)
+	c.index[id] = i
+	c.eps = append(c.eps, &backend{c: c, i: i})
+	c.id, c.zone, c.weight = append(c.id, id), append(c.zone, 0), append(c.weight, 1)
+	c.state, c.start = append(c.state, Gone), append(c.start, 0)
+	c.hash = append(c.hash, crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id))))
+	c.ease, c.shut, c.probe = append(c.ease, 1), append(c.shut, false), append(c.probe, 0)
+	c.tries, c.bad = append(c.tries, nil), append(c.bad, nil)
+	c.delay, c.last = append(c.delay, nil), append(c.last, nil)
+	c.bench, c.fouls = append(c.bench, nil), append(c.fouls, nil)
+	c.widen(i)
+	return i
+}
+
+func (c *Planner) widen(i int) {
+	for len(c.tries[i]) < len(c.zones) {
+		c.tries[i], c.bad[i] = append(c.tries[i], 0), append(c.bad[i], 0)
+		c.delay[i], c.last[i] = append(c.delay[i], 0), append(c.last[i], 0)
+		c.bench[i], c.fouls[i] = append(c.bench[i], 0), append(c.fouls[i], 0)
+	}
+}
+
+type ring struct {
+	box
+	c     *Planner
+	dirty bool
+	sized Seconds
+}
+
+type walk struct {
+	p    *proxy
+	path []int
+	took []bool
+	end  int
+}
+
+func turn(ring []int, at int) []int {
+	if len(ring) == 0 {
+		return nil
+	}
+	at %= len(ring)
+	return slices.Concat(ring[at:], ring[:at])
+}
+
+type proxy struct {
+	box
+	c         *Planner
+	id        Proxy
+	zone      int
+	joined    bool
+	bound     bool
+	size      [2]int    // of its arcs, by sheet
+	usage     []float64 // RPCs a second, by method
+	summed    []Seconds // when each was last told
+	sheets    []*sheet
+	version   int // of the newest push
+	confirmed int
+	flying    bool // a push is in flight,
+	mark      Mark // with this mark,
+	left      Seconds
+	sent      []Seconds // of the messages within the span that is limited
+	due       int       // lines for it in this step
+	clocked   bool      // this step's message is a push
+	share     []float64
+	tries     []Tries
+}
+
+func (c *Planner) proxy(id Proxy) *proxy {
+	at, ok := slices.BinarySearchFunc(c.proxies, id, func(p *proxy, id Proxy) int { return int(p.id - id) })
+	if ok {
+		return c.proxies[at]
+	}
+	methods := int(c.boot.Num("method.n", 1))
+	p := &proxy{c: c, id: id, usage: make([]float64, methods), summed: make([]Seconds, methods), share: c.gate.share, tries: c.gate.now()}
+	open, near := uint64(0), uint64(0)
+	for m := range methods {
+		if c.boot.Flag(fmt.Sprintf("method.%d.own_zone", m)) {
+			near |= 1 << m
+		} else {
+			open |= 1 << m
+		}
+	}
+	for k, mask := range []uint64{open, near} {
+		if mask != 0 {
+			p.sheets = append(p.sheets, &sheet{table: Table(2*int(id) + k), methods: mask, near: k == 1})
+		}
+	}
+	c.proxies = slices.Insert(c.proxies, at, p)
+	return p
+}
+
+func (p *proxy) rate() (sum float64) {
+	for _, u := range p.usage {
+		sum += u
+	}
+	return sum
+}
+
+func (p *proxy) holds(i int) bool {
+	for _, s := range p.sheets {
+		if slices.ContainsFunc(s.told, func(l line) bool { return l.ep == i }) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *proxy) cost() (lines int) {
+	for _, s := range p.sheets {
+		lines += len(s.want) + len(s.told) + len(p.usage) + 1
+	}
+	return lines
+}
+
+type channel struct {
+	box
+	c      *Planner
+	mark   Mark
+	usual  Seconds
+	ledger []load
+}
+
+func (h *channel) lines() (sum int) {
+	for _, l := range h.ledger {
+		sum += l.lines
+	}
+	return sum
+}
+
+type gate struct {
+	box
+	c      *Planner
+	share  []float64
+	free   []Tries // while there is room
+	worth  []float64
+	came   []float64 // RPCs a second of late, by method
+	soft   Seconds   // the shortest soft deadline
+	limit  float64   // RPCs a second that are let in
+	jammed bool
+	since  Seconds
+	cut    Seconds
+	next   Seconds
+}
