--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,12 +1,16 @@
 // Package choice is the decision module: a central planner that gives plain proxies their tables.
 //
-// Call New once with what is read at start, then Step with each batch of events; Step returns the orders, to be
-// carried out in that order. The interface (ids, events, orders, bootstrap names) is in types.go. An instance shares
-// nothing, knows no wire and no clock but the times it is handed: same events, same orders.
+// Call New once with what is read at start, then Step with each batch of events; Step returns the orders,
+// to be
+// carried out in that order. The interface (ids, events, orders, bootstrap names) is in types.go, the
+// parts' state
+// in state.go. An instance shares nothing and knows no wire: same events, same orders.
 //
-// How it works. Each backend and each proxy is an actor with an inbox; so are the roll (the list), the ring (the
-// arcs), the gate (levels and tries) and the channel. They talk by notes, which one loop delivers. Per proxy there is
-// one push in flight, clocked by the proxy's answer to its mark; what changes meanwhile goes as one delta.
+// How it works. Each backend and each proxy is an actor with an inbox; so are the roll (the list), the
+// ring (the
+// arcs), the gate (levels and tries) and the channel. They talk by notes, which one loop delivers. Per
+// proxy there
+// is one push in flight, clocked by the proxy's answer to its mark; what changes meanwhile goes as one delta.
 package choice
 
 import (
@@ -17,31 +21,28 @@
 )
 
 const (
-	tick          = 0.25 // how often time-driven parts look again
-	arcLeast      = 3
-	coverage      = 2     // arcs over each server
-	arcMean       = 6.0   // servers in an arc, on average
-	usageSpan     = 30.0  // seconds over which usage is averaged
-	crossingPrice = 0.001 // points an RPC from which arcs keep to their zone
-	spill         = 1.0   // of its part of the traffic, what a zone keeps
-	resizeBy      = 2     // an arc's size moves by no less
-	climbSteps    = 4     // messages that a new server's climb costs each proxy
-	silence       = 4.0   // usual answer times without an answer that bring a full resend
-	healthSpan    = 3.0   // seconds over which tries are averaged for health
-	healthTries   = 4.0   // tries that a judgement needs
-	healthBad     = 0.4   // share of bad tries, beyond the fleet's, that benches a server
-	benchLeast    = 5.0   // seconds on the bench the first time; doubled each time after
-	benchMost     = 20.0
-	benchPart     = 0.34 // most of a zone's view of the fleet that health may bench
-	probeEvery    = 1.0
-	jamBad        = 0.15 // share of bad tries in a server's own best zone that counts as a jam
-	jamDelay      = 0.8  // or a mean time of this much of the shortest soft deadline
-	gateSpan      = 4.0  // seconds over which the gate looks back
-	jamPart       = 0.5  // servers jammed together that mean overload, not single failures
-	ordinaryPart  = 0.6  // of the messages and lines allowed, what the ordinary path may use; the rest is for guards
+	tick         = 0.25 // how often time-driven parts look again
+	arcLeast     = 3
+	coverage     = 2    // arcs over each server
+	arcMean      = 6.0  // servers in an arc, on average
+	usageSpan    = 30.0 // seconds over which usage is averaged
+	resizeBy     = 2    // an arc's size moves by no less
+	climbSteps   = 4    // messages that a new server's climb costs each proxy
+	silence      = 4.0  // usual answer times without an answer that bring a full resend
+	healthSpan   = 3.0  // seconds over which tries are averaged for health
+	healthTries  = 4.0  // tries that a judgement needs
+	healthBad    = 0.4  // share of bad tries, beyond the fleet's, that benches a server
+	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
+	benchMost    = 20.0
+	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
+	probeEvery   = 1.0
+	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
+	jamDelay     = 0.8  // or a mean time of this much of the shortest soft deadline
+	gateSpan     = 4.0  // seconds over which the gate looks back
+	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
+	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
 )
 
-// Planner is one instance.
 // New makes an instance.
 func New(b Bootstrap) *Planner {
 	c := &Planner{boot: b, now: b.Now, index: map[EP]int{}, zones: map[Zone]int{}}
@@ -58,8 +59,8 @@
 	c.now, c.out = now, nil
 	for _, e := range events {
 		c.route(e)
-		c.loop()
 	}
+	c.loop()
 	if now >= c.alarm {
 		for _, p := range c.parts() {
 			c.post(p, clock{})
@@ -69,20 +70,18 @@
 		c.loop()
 	}
 	if c.boot.Num("slices", 0) == 0 {
+		c.pull()
 		for _, p := range c.proxies {
 			c.post(p, flush{})
 		}
 		c.loop()
 		c.readmit()
+		c.loop()
+		c.seal()
 	}
-	c.loop()
-	c.seal()
 	return c.out
 }
 
-// route puts an event into the inbox of the part that it concerns.
-// chance draws from 0 to 1.
-// roll keeps the list of servers, and sees to it that news of it keeps coming.
 func (r *roll) take(n note) {
 	c := r.c
 	switch n := n.(type) {
@@ -124,8 +123,6 @@
 	}
 }
 
-// backend is the actor of one server.
-// widen makes room for zones met since.
 func (b *backend) take(n note) {
 	c, i := b.c, b.i
 	switch n := n.(type) {
@@ -133,7 +130,6 @@
 		b.listed(n)
 	case TrySum:
 		z := c.place(n.Zone)
-		c.widen(i)
 		keep := math.Exp(-(c.now - c.last[i][z]) / healthSpan)
 		c.last[i][z] = c.now
 		good := float64(n.Tries - n.Bad)
@@ -180,7 +176,6 @@
 	if e.State != Gone {
 		c.zone[i], c.weight[i] = c.place(e.Zone), max(e.Weight, 1e-3)
 	}
-	c.widen(i)
 	if e.State == Open && e.Start > c.start[i] {
 		// A restart under the same id: what was held against the old process is void, and it is cold.
 		for z := range c.bench[i] {
@@ -192,18 +187,15 @@
 	// Where gone does not bind, a server dropped from the list leaves by the clock.
 	binds := e.State == Draining || e.State == Gone && !c.boot.Flag("only_draining_binds")
 	if binds && !c.shut[i] {
-		c.shut[i] = true
-		c.out = append(c.out, Withdraw{e.EP, true})
-		for _, p := range c.proxies {
-			if p.joined && (!p.bound || p.holds(i)) {
-				p.due++
-			}
-		}
+		c.owed[i] = cmp.Or(c.owed[i], c.now)
+	} else if !binds {
+		c.owed[i] = 0
 	}
 	c.post(c.ring, redo{})
 }
 
-// climb is the share of its full weight that a server may have: it follows the slowest warming that the bootstrap
+// climb is the share of its full weight that a server may have: it follows the slowest warming that the
+// bootstrap
 // allows, in few steps, each at the capacity surely there when the step begins.
 func (b *backend) climb() float64 {
 	span, cold := b.c.boot.Num("warm_after", 10), b.c.boot.Num("cold_share", 0.3)
@@ -214,19 +206,19 @@
 	return cold + (1-cold)*math.Floor(max(age, 0)/span*climbSteps)/climbSteps
 }
 
-// judge benches a server that does badly while the others do not: one that aborts, hangs, or can't be reached,
-// for all zones or for the one from which it does. Silence proves nothing, and trouble of most servers is a jam.
+// judge benches a server that does badly while the others do not: one that aborts, hangs, or can't be
+// reached,
+// for all zones or for the one from which it does. Silence proves nothing, and trouble of most servers is
+// a jam.
 func (b *backend) judge() {
 	c, i := b.c, b.i
-	all, bad := 0.0, 0.0
-	for z := range c.tries[i] {
-		all, bad = all+c.tries[i][z], bad+c.bad[i][z]
-	}
-	for z := range c.tries[i] {
-		t, f := c.tries[i][z], c.bad[i][z]
-		pooled := all >= healthTries && bad > (healthBad+c.usualBad(z, i))*all && f >= healthBad*t
-		alone := t >= healthTries && f > (healthBad+c.usualBad(z, i))*t
-		if c.bench[i][z] > c.now || !pooled && !alone || !c.spare(z, i) {
+	all, bad := sum(c.tries[i]), sum(c.bad[i])
+	for z, t := range c.tries[i] {
+		usual, spare := c.others(z, i)
+		f := c.bad[i][z]
+		pooled := all >= healthTries && bad > (healthBad+usual)*all && f >= healthBad*t
+		alone := t >= healthTries && f > (healthBad+usual)*t
+		if c.bench[i][z] > c.now || !pooled && !alone || !spare {
 			continue
 		}
 		c.bench[i][z] = c.now + min(benchLeast*math.Exp2(float64(c.fouls[i][z])), benchMost)
@@ -235,33 +227,27 @@
 	}
 }
 
-// usualBad is the share of bad tries from a zone at all servers but one.
-func (c *Planner) usualBad(z, but int) float64 {
-	all, bad := 1.0, 0.0
-	for i := range c.id {
-		if i != but && z < len(c.tries[i]) && c.bench[i][z] <= c.now {
-			all, bad = all+c.tries[i][z], bad+c.bad[i][z]
-		}
-	}
-	return bad / all
-}
-
-// spare tells whether one more server can be benched for a zone: health never takes most of the fleet.
-func (c *Planner) spare(z, one int) bool {
-	all, out := 0.0, c.weight[one]
+// others gives the share of bad tries from a zone at all servers but one, and whether that one can be spared:
+// health
+// never takes most of the fleet.
+func (c *Planner) others(z, one int) (usual float64, spare bool) {
+	all, bad, open, out := 1.0, 0.0, 0.0, c.weight[one]
 	for i := range c.id {
+		benched := c.bench[i][z] > c.now
 		if c.state[i] == Open {
-			all += c.weight[i]
-			if i != one && z < len(c.bench[i]) && c.bench[i][z] > c.now {
-				out += c.weight[i]
-			}
+			open += c.weight[i]
+		}
+		switch {
+		case i == one:
+		case !benched:
+			all, bad = all+c.tries[i][z], bad+c.bad[i][z]
+		case c.state[i] == Open:
+			out += c.weight[i]
 		}
 	}
-	return out <= benchPart*all
+	return bad / all, out <= benchPart*open
 }
 
-// ring deals the arcs. Where crossing between zones is priced, each zone has a ring of its own and its proxies' arcs lie
-// on that; a zone with more than its part of the traffic lets the rest of its arcs lie on the others' servers.
 func (r *ring) take(n note) {
 	switch n.(type) {
 	case redo:
@@ -289,8 +275,8 @@
 	return *was
 }
 
-// walk is the way one arc takes: the servers in the order in which it would take them, and those that it takes.
-// step takes servers from the path until they fill so many places. One that is cold or shut takes a place but does not
+// step takes servers from the path until they fill so many places. One that is cold or shut takes a place
+// but does not
 // fill it, so that an arc has enough warm weight beside a cold server; one on the bench is passed over.
 func (w *walk) step(c *Planner, fill float64, cover []int) {
 	for ; fill > 0.01 && w.end < len(w.path); w.end++ {
@@ -306,82 +292,55 @@
 
 func (r *ring) deal() {
 	c := r.c
-	var order []int
-	room := make([]float64, len(c.zones)) // by zone, and what is asked of it
-	asked := make([]float64, len(c.zones))
-	rooms, asks, joined := 0.0, 1e-9, 0.0
-	for i := range c.id {
-		if c.widen(i); c.state[i] == Open {
-			order = append(order, i)
-			if !c.shut[i] && c.bench[i][c.zone[i]] <= c.now {
-				room[c.zone[i]] += c.weight[i] * c.ease[i]
-				rooms += c.weight[i] * c.ease[i]
-			}
+	// By zone: what its servers can take, and what its proxies ask.
+	room, asked, joined := make([]float64, len(c.zones)), make([]float64, len(c.zones)), 0.0
+	order := c.hashed(func(i int) bool { return c.state[i] == Open })
+	for _, i := range order {
+		if !c.shut[i] && c.bench[i][c.zone[i]] <= c.now {
+			room[c.zone[i]] += c.weight[i] * c.ease[i]
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(c.hash[a], c.hash[b]), cmp.Compare(c.id[a], c.id[b])) })
 	for _, p := range c.proxies {
 		if p.joined {
 			asked[p.zone] += p.rate() + 1e-9
-			asks += p.rate()
 			joined++
 		}
 	}
+	rooms, asks := sum(room), sum(asked)
 	lines := max(coverage*float64(len(order)), arcMean*joined)
-	zoned := c.boot.Num("price.crossing", 0) >= crossingPrice
-	cover := make([]int, len(c.id))
-	home, away := make([]int, len(c.zones)), 0 // where on each ring the next arc starts
+	cover, home, away := make([]int, len(c.id)), make([]int, len(c.zones)), 0
 	var walks []*walk
 	for _, p := range c.proxies {
 		if !p.joined {
 			continue
 		}
-		near, far := []int{}, []int{}
-		for _, i := range order {
-			if c.zone[i] == p.zone {
-				near = append(near, i)
-			} else {
-				far = append(far, i)
-			}
-		}
+		near, far := split(order, func(i int) bool { return c.zone[i] == p.zone })
 		for k, s := range p.sheets {
-			w := &walk{p: p, took: make([]bool, len(c.id))}
-			switch {
-			case s.near:
-				n := size(&p.size[k], p.rate()/asked[p.zone], lines, len(near))
-				w.path = turn(near, home[p.zone])
-				w.step(c, float64(n), cover)
-			case zoned && len(near) > 0 && room[p.zone] > 0:
-				n := size(&p.size[k], p.rate()/asks, lines, len(order))
-				stay := min(1, spill*room[p.zone]/rooms/(asked[p.zone]/asks))
-				w.path = turn(near, home[p.zone])
-				in := min(math.Round(float64(n)*stay), float64(len(near)))
-				w.step(c, in, cover)
-				home[p.zone] += int(in)
-				out := float64(n) - in
+			w := &walk{p: p, s: s, path: turn(near, home[p.zone]), took: make([]bool, len(c.id))}
+			n, out := size(&p.size[k], p.rate()/asks, lines, len(order)), 0
+			if !s.near {
+				stay := min(1, room[p.zone]/max(rooms, 1e-9)/(asked[p.zone]/asks))
+				in := min(int(math.Round(float64(n)*stay)), len(near))
+				n, out = in, n-in
+			}
+			w.step(c, float64(n), cover)
+			if home[p.zone] += n; !s.near {
 				w.path = append(w.path[:w.end], turn(far, away)...)
-				w.step(c, out, cover)
-				away += int(out)
-			default:
-				n := size(&p.size[k], p.rate()/asks, lines, len(order))
-				w.path = turn(order, away)
-				w.step(c, float64(n), cover)
-				away += n
+				w.step(c, float64(out), cover)
+				away += out
 			}
 			walks = append(walks, w)
 		}
 	}
+	// What the arcs leave out goes to those that would reach it soonest.
 	for _, i := range order {
 		for cover[i] < coverage {
 			var best *walk
-			gap := 0
+			gap := len(order)
 			for _, w := range walks {
 				at := slices.Index(w.path, i)
-				if at < 0 || w.took[i] || c.bench[i][w.p.zone] > c.now {
-					continue
-				}
-				if g := at - w.end; best == nil || g < gap {
-					best, gap = w, g
+				if at >= 0 && at-w.end < gap && !w.took[i] && c.bench[i][w.p.zone] <= c.now {
+					best, gap = w, at-w.end
 				}
 			}
 			if best == nil {
@@ -391,24 +350,16 @@
 			cover[i]++
 		}
 	}
-	k := 0
-	for _, p := range c.proxies {
-		for _, s := range p.sheets {
-			if p.joined {
-				s.want = nil
-				for _, i := range order {
-					if walks[k].took[i] {
-						s.want = append(s.want, line{i, c.weight[i] * c.ease[i]})
-					}
-				}
-				k++
+	for _, w := range walks {
+		w.s.want = nil
+		for _, i := range order {
+			if w.took[i] {
+				w.s.want = append(w.s.want, line{i, c.weight[i] * c.ease[i]})
 			}
 		}
 	}
 }
 
-// turn turns a ring so that it begins at a place.
-// proxy is the actor of one proxy: its tables and its clock.
 func (p *proxy) take(n note) {
 	c := p.c
 	switch n := n.(type) {
@@ -416,9 +367,6 @@
 		// The stream is new: a push of the last one is forgotten, and nothing of ours is bound.
 		p.joined, p.bound, p.flying, p.due, p.sent, p.size = true, false, false, 0, nil, [2]int{}
 		p.zone = c.place(n.Zone)
-		for i := range c.id {
-			c.widen(i)
-		}
 		if p.rate() == 0 {
 			for m := range p.usage {
 				p.usage[m], p.summed[m] = n.Rate/float64(len(p.usage)), c.now
@@ -451,19 +399,9 @@
 func (p *proxy) flush() {
 	c := p.c
 	silent := p.flying && c.now > p.left+silence*c.channel.usual
-	urgent, changed := false, !p.bound
-	for _, s := range p.sheets {
-		urgent = urgent || p.urgent(s)
-		changed = changed || p.differs(s)
-	}
-	switch {
-	case urgent && changed:
-	case silent:
-		changed = true
-	case p.flying || !changed:
-		return
-	}
-	if !urgent && !c.channel.room(p, p.cost()) {
+	urgent := slices.ContainsFunc(p.sheets, p.urgent)
+	changed := silent || !p.bound || slices.ContainsFunc(p.sheets, p.differs)
+	if !changed || !urgent && (p.flying && !silent || !c.channel.room(p)) {
 		return
 	}
 	full := !p.bound || silent
@@ -475,15 +413,12 @@
 			p.due += 1 + len(s.told) + len(s.level)
 		}
 	}
-	if p.bound = p.bound || ready; !p.bound {
-		return
-	}
-	if p.due > 0 && (!p.flying || silent) {
-		p.clocked = true
-	}
+	p.bound = p.bound || ready
+	p.clocked = p.bound && p.due > 0 && (!p.flying || silent)
 }
 
-// urgent tells whether a table has lost all lines that may be used, or gives a cold server more than it may have;
+// urgent tells whether a table has lost all lines that may be used, or gives a cold server more than it
+// may have;
 // such news can't wait for an answer.
 func (p *proxy) urgent(s *sheet) bool {
 	c := p.c
@@ -505,7 +440,7 @@
 		return true
 	}
 	for m := range p.share {
-		if s.methods>>m&1 == 1 && (len(s.level) == 0 || s.level[m] != p.level(m) || s.tries[m] != p.tries[m]) {
+		if s.methods>>m&1 == 1 && (s.level[m] != p.level(m) || s.tries[m] != p.tries[m]) {
 			return len(s.want) > 0
 		}
 	}
@@ -518,10 +453,7 @@
 		return p.share[m]
 	}
 	// Kept as it was while it differs little: each change is a line.
-	want, was := p.share[m]*max(p.usage[m], 0.1), 0.0
-	if s := p.sheets[0]; len(s.level) > m {
-		was = s.level[m]
-	}
+	want, was := p.share[m]*max(p.usage[m], 0.1), p.sheets[0].level[m]
 	if was > want/1.15 && was < want*1.15 {
 		return was
 	}
@@ -534,30 +466,11 @@
 	if len(s.want) == 0 {
 		return
 	}
-	old := map[int]float64{}
-	for _, l := range s.told {
-		old[l.ep] = l.w
-	}
-	for _, l := range s.want {
-		if old[l.ep] != l.w {
-			c.out = append(c.out, SetLine{s.table, c.id[l.ep], l.w})
-			p.due++
-		}
-		delete(old, l.ep)
-	}
-	for _, l := range s.told {
-		if _, ok := old[l.ep]; ok {
-			c.out = append(c.out, SetLine{s.table, c.id[l.ep], 0})
-			p.due++
-		}
+	for _, l := range delta(s.told, s.want) {
+		c.out = append(c.out, SetLine{s.table, c.id[l.ep], l.w})
+		p.due++
 	}
 	s.told = slices.Clone(s.want)
-	if s.level == nil {
-		s.level, s.tries = make([]float64, len(p.share)), make([]Tries, len(p.share))
-		for m := range s.level {
-			s.level[m] = -1
-		}
-	}
 	for m := range p.share {
 		if level := p.level(m); s.methods>>m&1 == 1 && (s.level[m] != level || s.tries[m] != p.tries[m]) {
 			s.level[m], s.tries[m] = level, p.tries[m]
@@ -570,36 +483,40 @@
 	}
 }
 
+// pull sends the withdrawals that are owed, without waiting for answers. When many have gone of late they are
+// gathered for part of the grace, against a list that drops its servers one by one and a limit on messages.
+func (c *Planner) pull() {
+	oldest := math.Inf(1)
+	for _, since := range c.owed {
+		oldest = min(oldest, cmp.Or(since, oldest))
+	}
+	hold := max(0, c.boot.Num("drain_grace", 1)-c.boot.Num("push_time_worst", 0.4)-3*c.channel.usual) / 2
+	crowded := func(p *proxy) bool { return p.joined && !c.channel.few(p) }
+	if c.now < oldest+hold && slices.ContainsFunc(c.proxies, crowded) {
+		return
+	}
+	for i, since := range c.owed {
+		if since > 0 {
+			c.owed[i] = 0
+			c.withdraw(i, true)
+		}
+	}
+}
+
 // readmit lets a withdrawn server in again once no table gives it more than it may have.
 func (c *Planner) readmit() {
 	for i := range c.id {
 		if !c.shut[i] || c.state[i] != Open {
 			continue
 		}
-		safe := true
-		for _, p := range c.proxies {
-			for _, s := range p.sheets {
-				for _, l := range s.told {
-					if l.ep == i && p.joined && l.w > 1.05*c.weight[i]*c.ease[i] {
-						safe = false
-					}
-				}
-			}
-		}
-		if safe {
-			c.shut[i] = false
-			c.out = append(c.out, Withdraw{c.id[i], false})
-			for _, p := range c.proxies {
-				if p.joined && p.holds(i) {
-					p.due++
-				}
-			}
+		risky := func(p *proxy) bool { return p.joined && p.heaviest(i) > 1.05*c.weight[i]*c.ease[i] }
+		if !slices.ContainsFunc(c.proxies, risky) {
+			c.withdraw(i, false)
 			c.post(c.ring, redo{})
 		}
 	}
 }
 
-// channel keeps count of what may still wait in it, and of marks and usual answer times.
 func (h *channel) take(n note) {
 	switch n := n.(type) {
 	case heard:
@@ -617,17 +534,20 @@
 	}
 }
 
-// room tells whether an ordinary push fits: part of the limits stays free for what can't be put off.
-func (h *channel) room(p *proxy, lines int) bool {
-	c := h.c
-	span := c.boot.Num("messages_span", 10)
-	for len(p.sent) > 0 && p.sent[0] < c.now-span-1 {
+// few tells whether a proxy has had so few messages of late that the ordinary path may send more: part of the
+// limit stays free for what can't be put off.
+func (h *channel) few(p *proxy) bool {
+	most, span := h.c.boot.Num("messages", 0), h.c.boot.Num("messages_span", 10)
+	for len(p.sent) > 0 && p.sent[0] < h.c.now-span-1 {
 		p.sent = p.sent[1:]
 	}
-	if most := c.boot.Num("messages", 0); most > 0 && float64(len(p.sent)+1) > ordinaryPart*most && p.bound {
-		return false
-	}
-	return float64(h.lines()+lines) < ordinaryPart*c.boot.Num("channel_room", math.Inf(1))
+	return most == 0 || float64(len(p.sent)+1) <= ordinaryPart*most
+}
+
+// room tells whether an ordinary push fits. One that rides with a withdrawal is no message more.
+func (h *channel) room(p *proxy) bool {
+	fits := float64(h.lines()+p.cost()) < ordinaryPart*h.c.boot.Num("channel_room", math.Inf(1))
+	return fits && (!p.bound || p.due > 0 || h.few(p))
 }
 
 // seal closes the step: one mark for all its messages.
@@ -656,18 +576,15 @@
 	}
 }
 
-// gate decides what is let in and when proxies try again.
 func newGate(c *Planner) *gate {
 	g := &gate{c: c, limit: math.Inf(1), soft: math.Inf(1)}
 	for m := range int(c.boot.Num("method.n", 1)) {
 		at := fmt.Sprintf("method.%d.", m)
+		// Idempotent RPCs too: a second send after a mere time-out feeds the jam that it came from.
 		tries := TryProven
 		// A second send is at most one try's wait after the first; all servers must then still drop the repeat.
 		soon := c.boot.Num("try_wait", 1)*c.boot.Num(at+"soft_deadline", 1) < 0.9*c.boot.Num(at+"window", 0)
-		switch effect := c.boot.Word(at + "effect"); {
-		case effect == "idempotent":
-			tries = TryProven
-		case effect == "tokened" && c.boot.Word(at+"group") == "all" && soon:
+		if c.boot.Word(at+"effect") == "tokened" && c.boot.Word(at+"group") == "all" && soon {
 			tries = TryAgain
 		}
 		g.share, g.free = append(g.share, 1), append(g.free, tries)
@@ -682,11 +599,7 @@
 	if !g.jammed {
 		return g.free
 	}
-	cut := make([]Tries, len(g.free))
-	for m := range cut {
-		cut[m] = min(g.free[m], TryProven)
-	}
-	return cut
+	return slices.Repeat([]Tries{TryProven}, len(g.free))
 }
 
 func (g *gate) take(n note) {
@@ -707,7 +620,8 @@
 	}
 }
 
-// look tells a jam from single failures: most servers do badly together, each judged by the zone that fares best
+// look tells a jam from single failures: most servers do badly together, each judged by the zone that
+// fares best
 // with it, as a cut between zones is no jam.
 func (g *gate) look() {
 	c := g.c
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
@@ -9,6 +10,7 @@
 
 // The parts' state and the loop that carries their notes. No decision is taken here.
 
+// Planner is one instance.
 type Planner struct {
 	boot  Bootstrap
 	now   Seconds
@@ -38,6 +40,7 @@
 	return append(all, c.ring)
 }
 
+// route puts an event into the inbox of the part that it concerns.
 func (c *Planner) route(e Event) {
 	switch e := e.(type) {
 	case Listed:
@@ -82,6 +85,7 @@
 	}
 }
 
+// chance draws from 0 to 1.
 func (c *Planner) chance() float64 {
 	c.count++
 	b := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint64(nil, c.boot.Seed), c.count)
@@ -93,10 +97,14 @@
 	if !ok {
 		i = len(c.zones)
 		c.zones[z] = i
+		for k := range c.id {
+			c.widen(k)
+		}
 	}
 	return i
 }
 
+// roll keeps the list of servers, and sees to it that news of it keeps coming.
 type roll struct {
 	box
 	c     *Planner
@@ -104,6 +112,7 @@
 	tried int     // failures in a row
 }
 
+// backend is the actor of one server.
 type backend struct {
 	box
 	c *Planner
@@ -121,6 +130,7 @@
 	c.state, c.start = append(c.state, Gone), append(c.start, 0)
 	c.hash = append(c.hash, crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id))))
 	c.ease, c.shut, c.probe = append(c.ease, 1), append(c.shut, false), append(c.probe, 0)
+	c.owed = append(c.owed, 0)
 	c.tries, c.bad = append(c.tries, nil), append(c.bad, nil)
 	c.delay, c.last = append(c.delay, nil), append(c.last, nil)
 	c.bench, c.fouls = append(c.bench, nil), append(c.fouls, nil)
@@ -128,6 +138,7 @@
 	return i
 }
 
+// widen makes room for zones met since.
 func (c *Planner) widen(i int) {
 	for len(c.tries[i]) < len(c.zones) {
 		c.tries[i], c.bad[i] = append(c.tries[i], 0), append(c.bad[i], 0)
@@ -136,6 +147,7 @@
 	}
 }
 
+// ring deals the arcs.
 type ring struct {
 	box
 	c     *Planner
@@ -143,8 +155,10 @@
 	sized Seconds
 }
 
+// walk is the way one arc takes: the servers in order, and those that it has taken.
 type walk struct {
 	p    *proxy
+	s    *sheet
 	path []int
 	took []bool
 	end  int
@@ -158,6 +172,7 @@
 	return slices.Concat(ring[at:], ring[:at])
 }
 
+// proxy is the actor of one proxy: its tables and its clock.
 type proxy struct {
 	box
 	c         *Planner
@@ -187,7 +202,8 @@
 		return c.proxies[at]
 	}
 	methods := int(c.boot.Num("method.n", 1))
-	p := &proxy{c: c, id: id, usage: make([]float64, methods), summed: make([]Seconds, methods), share: c.gate.share, tries: c.gate.now()}
+	p := &proxy{c: c, id: id, share: c.gate.share, tries: c.gate.now()}
+	p.usage, p.summed = make([]float64, methods), make([]Seconds, methods)
 	open, near := uint64(0), uint64(0)
 	for m := range methods {
 		if c.boot.Flag(fmt.Sprintf("method.%d.own_zone", m)) {
@@ -198,27 +214,38 @@
 	}
 	for k, mask := range []uint64{open, near} {
 		if mask != 0 {
-			p.sheets = append(p.sheets, &sheet{table: Table(2*int(id) + k), methods: mask, near: k == 1})
+			s := &sheet{table: Table(2*int(id) + k), methods: mask, near: k == 1}
+			s.level, s.tries = slices.Repeat([]float64{-1}, methods), make([]Tries, methods)
+			p.sheets = append(p.sheets, s)
 		}
 	}
 	c.proxies = slices.Insert(c.proxies, at, p)
 	return p
 }
 
-func (p *proxy) rate() (sum float64) {
-	for _, u := range p.usage {
-		sum += u
+func (p *proxy) rate() float64 { return sum(p.usage) }
+
+// heaviest is the largest weight that a table of the proxy gives a server.
+func (p *proxy) heaviest(i int) (w float64) {
+	for _, s := range p.sheets {
+		for _, l := range s.told {
+			if l.ep == i {
+				w = max(w, l.w)
+			}
+		}
 	}
-	return sum
+	return w
 }
 
-func (p *proxy) holds(i int) bool {
-	for _, s := range p.sheets {
-		if slices.ContainsFunc(s.told, func(l line) bool { return l.ep == i }) {
-			return true
+// withdraw shuts a server out of all tables, or lets it in again, and counts the lines that this costs.
+func (c *Planner) withdraw(i int, on bool) {
+	c.shut[i] = on
+	c.out = append(c.out, Withdraw{c.id[i], on})
+	for _, p := range c.proxies {
+		if p.joined && (!p.bound || p.heaviest(i) > 0) {
+			p.due++
 		}
 	}
-	return false
 }
 
 func (p *proxy) cost() (lines int) {
@@ -228,6 +255,7 @@
 	return lines
 }
 
+// channel counts what may still wait in it, and keeps marks and the usual answer time.
 type channel struct {
 	box
 	c      *Planner
@@ -243,6 +271,7 @@
 	return sum
 }
 
+// gate decides what is let in and when proxies try again.
 type gate struct {
 	box
 	c      *Planner
@@ -257,3 +286,54 @@
 	cut    Seconds
 	next   Seconds
 }
+
+// hashed gives the servers that fit, in the order of the ring.
+func (c *Planner) hashed(fits func(int) bool) (order []int) {
+	for i := range c.id {
+		if fits(i) {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(c.hash[a], c.hash[b]), cmp.Compare(c.id[a], c.id[b]))
+	})
+	return order
+}
+
+func split(all []int, fits func(int) bool) (in, out []int) {
+	for _, i := range all {
+		if fits(i) {
+			in = append(in, i)
+		} else {
+			out = append(out, i)
+		}
+	}
+	return in, out
+}
+
+func sum(of []float64) (total float64) {
+	for _, x := range of {
+		total += x
+	}
+	return total
+}
+
+// delta gives the lines that turn one table into another; weight 0 removes a line.
+func delta(from, to []line) (lines []line) {
+	old := map[int]float64{}
+	for _, l := range from {
+		old[l.ep] = l.w
+	}
+	for _, l := range to {
+		if old[l.ep] != l.w {
+			lines = append(lines, l)
+		}
+		delete(old, l.ep)
+	}
+	for _, l := range from {
+		if _, ok := old[l.ep]; ok {
+			lines = append(lines, line{l.ep, 0})
+		}
+	}
+	return lines
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -267,7 +267,7 @@
 	lines int
 }
 
-// figures of the backends, as parallel arrays under a dense index; those by pair have one place for each zone.
+// figures of the backends, as parallel arrays under a dense index; those by pair have a place for each zone.
 type figures struct {
 	id         []EP
 	zone       []int
@@ -277,6 +277,7 @@
 	hash       []uint32
 	ease       []float64 // share of its full weight
 	shut       []bool    // withdrawn by our order
+	owed       []Seconds // since when a withdrawal is owed; 0: none is
 	tries, bad [][]float64
 	delay      [][]float64 // mean time of good answers
 	last       [][]Seconds // of the sums
