--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,7 @@
 	probeEvery   = 1.0
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
 	jamDelay     = 0.8  // or a mean time of this much of the shortest soft deadline
+	limitLeast   = 0.8  // of the best rate of answers seen
 	gateSpan     = 4.0  // seconds over which the gate looks back
 	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
 	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
@@ -228,8 +229,7 @@
 }
 
 // others gives the share of bad tries from a zone at all servers but one, and whether that one can be spared:
-// health
-// never takes most of the fleet.
+// health never takes most of the fleet.
 func (c *Planner) others(z, one int) (usual float64, spare bool) {
 	all, bad, open, out := 1.0, 0.0, 0.0, c.weight[one]
 	for i := range c.id {
@@ -278,13 +278,18 @@
 // step takes servers from the path until they fill so many places. One that is cold or shut takes a place
 // but does not
 // fill it, so that an arc has enough warm weight beside a cold server; one on the bench is passed over.
-func (w *walk) step(c *Planner, fill float64, cover []int) {
-	for ; fill > 0.01 && w.end < len(w.path); w.end++ {
-		if i := w.path[w.end]; c.bench[i][w.p.zone] <= c.now && !w.took[i] {
+func (w *walk) step(c *Planner, fill, mean float64, cover []int) {
+	for least := min(fill, arcLeast); w.end < len(w.path); w.end++ {
+		i := w.path[w.end]
+		place := c.ease[i] * c.weight[i] / mean
+		if fill < place/2 && least < 0.5 {
+			return
+		}
+		if c.bench[i][w.p.zone] <= c.now {
 			w.took[i] = true
 			cover[i]++
 			if !c.shut[i] {
-				fill -= c.ease[i]
+				fill, least = fill-place, least-c.ease[i]
 			}
 		}
 	}
@@ -306,7 +311,10 @@
 			joined++
 		}
 	}
-	rooms, asks := sum(room), sum(asked)
+	rooms, asks, mean := sum(room), sum(asked), 0.0
+	for _, i := range order {
+		mean += c.weight[i] / float64(len(order))
+	}
 	lines := max(coverage*float64(len(order)), arcMean*joined)
 	cover, home, away := make([]int, len(c.id)), make([]int, len(c.zones)), 0
 	var walks []*walk
@@ -323,11 +331,12 @@
 				in := min(int(math.Round(float64(n)*stay)), len(near))
 				n, out = in, n-in
 			}
-			w.step(c, float64(n), cover)
-			if home[p.zone] += n; !s.near {
-				w.path = append(w.path[:w.end], turn(far, away)...)
-				w.step(c, float64(out), cover)
-				away += out
+			w.step(c, float64(n), mean, cover)
+			if home[p.zone] += w.end; !s.near {
+				in := w.end
+				w.path = append(w.path[:in], turn(far, away)...)
+				w.step(c, float64(out), mean, cover)
+				away += w.end - in
 			}
 			walks = append(walks, w)
 		}
@@ -643,6 +652,13 @@
 			}
 		}
 	}
+	room := 1e-9
+	for i := range c.id {
+		if c.state[i] == Open {
+			room += c.weight[i] * c.ease[i]
+		}
+	}
+	g.best = max(g.best, good/room)
 	was := g.jammed
 	switch {
 	case all == 0:
@@ -650,11 +666,9 @@
 	case jam >= jamPart*all:
 		g.jammed, g.since = true, c.now
 		// What was answered is what can be: letting in a little less lets the queues run off.
+		// Not below most of what such a fleet has answered before, as the sums are late and the queues hide it.
 		if c.now >= g.cut+gateSpan/2 {
-			g.cut, g.limit = c.now, max(min(g.limit, good*0.95), g.limit*0.5, 0)
-			if math.IsInf(g.limit, 1) {
-				g.limit = good * 0.95
-			}
+			g.cut, g.limit = c.now, max(min(g.limit, good*0.95), limitLeast*g.best*room)
 		}
 	case jam > jamPart/2*all:
 		g.since = c.now
--- a/choice/state.go
+++ b/choice/state.go
@@ -281,6 +281,7 @@
 	came   []float64 // RPCs a second of late, by method
 	soft   Seconds   // the shortest soft deadline
 	limit  float64   // RPCs a second that are let in
+	best   float64   // answers a second for each weight, the best so far
 	jammed bool
 	since  Seconds
 	cut    Seconds
