Arcs by bounded loads, and leaning away from servers whose answers take too long

Leaning guards against any slow server whatever the cause (worse machine than listed, stalls, heavy RPCs); it could harm when all are slow, so a jam stops it. Levels come back three times faster once no server is jammed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,6 +24,7 @@
 	tick         = 0.25 // how often time-driven parts look again
 	arcLeast     = 3
 	coverage     = 2    // arcs over each server
+	fair         = 1.35 // of its part of the usage, what a server takes before arcs pass it over
 	arcMean      = 6.0  // servers in an arc, on average
 	usageSpan    = 30.0 // seconds over which usage is averaged
 	resizeBy     = 2    // an arc's size moves by no less
@@ -36,6 +37,9 @@
 	benchMost    = 20.0
 	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
 	probeEvery   = 1.0
+	leanDelay    = 0.5 // of the shortest soft deadline, what answers of a server take before arcs lean away from it
+	leanLeast    = 0.4
+	leanEvery    = 3.0
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
 	jamDelay     = 0.8  // or a mean time of this much of the shortest soft deadline
 	limitLeast   = 0.8  // of the best rate of answers seen
@@ -165,6 +169,7 @@
 				c.fouls[i][z] = 0
 			}
 		}
+		b.lean()
 		if benched && c.state[i] == Open && c.now >= c.probe[i] && c.boot.Flag("probes") {
 			c.probe[i] = c.now + probeEvery
 			c.out = append(c.out, Probe{c.id[i]})
@@ -228,6 +233,29 @@
 	}
 }
 
+// lean lowers the part of the usage that arcs bring a server whose answers take too long while most do not: one that is
+// slower than listed, or stalls. Its weight stays as listed; fewer arcs take it. It comes back in small steps.
+func (b *backend) lean() {
+	c, i := b.c, b.i
+	if c.now < c.leant[i]+leanEvery {
+		return
+	}
+	c.leant[i] = c.now
+	good, time := 0.0, 0.0
+	for z, t := range c.tries[i] {
+		if c.now < c.last[i][z]+leanEvery {
+			good, time = good+t-c.bad[i][z], time+(t-c.bad[i][z])*c.delay[i][z]
+		}
+	}
+	switch slow := time / max(good, 1e-9) / c.gate.soft; {
+	case good < healthTries:
+	case slow > leanDelay && !c.gate.jammed:
+		c.trust[i] = max(leanLeast, c.trust[i]*0.85)
+	case slow < leanDelay:
+		c.trust[i] = min(1, c.trust[i]+0.05)
+	}
+}
+
 // others gives the share of bad tries from a zone at all servers but one, and whether that one can be spared:
 // health never takes most of the fleet.
 func (c *Planner) others(z, one int) (usual float64, spare bool) {
@@ -266,30 +294,30 @@
 	}
 }
 
-// size sets an arc's size from its part of the usage on a ring; it moves by two or more, or not at all.
-func size(was *int, part, lines float64, servers int) int {
-	want := min(max(arcLeast, int(math.Round(part*lines))), servers)
-	if *was == 0 || want-*was >= resizeBy || *was-want >= resizeBy || *was > servers {
-		*was = want
+// resize sets an arc's size from the proxy's part of the usage; it moves by two or more, or not at all.
+func (p *proxy) resize(each float64, servers int) int {
+	want := min(max(arcLeast, int(math.Round(p.rate()*each))), servers)
+	if p.size == 0 || want-p.size >= resizeBy || p.size-want >= resizeBy || p.size > servers {
+		p.size, p.held = want, p.rate()
 	}
-	return *was
+	return p.size
 }
 
-// step takes servers from the path until they fill so many places. One that is cold or shut takes a place
-// but does not
-// fill it, so that an arc has enough warm weight beside a cold server; one on the bench is passed over.
-func (w *walk) step(c *Planner, fill, mean float64, cover []int) {
-	for least := min(fill, arcLeast); w.end < len(w.path); w.end++ {
-		i := w.path[w.end]
-		place := c.ease[i] * c.weight[i] / mean
-		if fill < place/2 && least < 0.5 {
+// step takes servers from the path until they fill so many places. One that has its part of the usage already is
+// passed over, as in consistent hashing with bounded loads; so is one on the bench. One that is cold or shut takes a
+// place but fills less of it, so that an arc has enough warm weight beside a cold server.
+func (w *walk) step(c *Planner, path []int, bound float64) {
+	for _, i := range path {
+		place := c.ease[i] * c.weight[i]
+		if w.fill < place/2 && w.least < 0.5 {
 			return
 		}
-		if c.bench[i][w.p.zone] <= c.now {
+		if !w.took[i] && c.bench[i][w.p.zone] <= c.now && c.carry[i]+w.per*place <= bound*place*c.trust[i] {
 			w.took[i] = true
-			cover[i]++
+			c.carry[i] += w.per * place
+			c.cover[i]++
 			if !c.shut[i] {
-				fill, least = fill-place, least-c.ease[i]
+				w.fill, w.least = w.fill-place, w.least-c.ease[i]
 			}
 		}
 	}
@@ -297,66 +325,65 @@
 
 func (r *ring) deal() {
 	c := r.c
-	// By zone: what its servers can take, and what its proxies ask.
-	room, asked, joined := make([]float64, len(c.zones)), make([]float64, len(c.zones)), 0.0
 	order := c.hashed(func(i int) bool { return c.state[i] == Open })
+	room, asks, mean := 0.0, 1e-9, 0.0
 	for _, i := range order {
-		if !c.shut[i] && c.bench[i][c.zone[i]] <= c.now {
-			room[c.zone[i]] += c.weight[i] * c.ease[i]
+		mean += c.weight[i] / float64(len(order))
+		if !c.shut[i] {
+			room += c.weight[i] * c.ease[i]
 		}
 	}
+	var walks []*walk
+	joined := 0.0
 	for _, p := range c.proxies {
 		if p.joined {
-			asked[p.zone] += p.rate() + 1e-9
 			joined++
+			asks += p.rate()
+			for _, s := range p.sheets {
+				walks = append(walks, &walk{p: p, s: s, took: make([]bool, len(c.id))})
+			}
 		}
 	}
-	rooms, asks, mean := sum(room), sum(asked), 0.0
-	for _, i := range order {
-		mean += c.weight[i] / float64(len(order))
-	}
-	lines := max(coverage*float64(len(order)), arcMean*joined)
-	cover, home, away := make([]int, len(c.id)), make([]int, len(c.zones)), 0
-	var walks []*walk
-	for _, p := range c.proxies {
-		if !p.joined {
-			continue
-		}
+	lines := max(coverage*float64(len(order)), arcMean*float64(len(walks)))
+	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
+	c.carry, c.cover = make([]float64, len(c.id)), make([]int, len(c.id))
+	starts := make([]int, len(c.zones))
+	// The proxies of other coordinators are taken to bring the servers their even part, as nothing tells more.
+	bound := asks * (1 + (fair-1)*max(1, c.boot.Num("proxies", 1)/max(joined, 1))) / room
+	for _, w := range walks {
+		p := w.p
+		n := float64(p.resize(lines/asks, len(order)))
 		near, far := split(order, func(i int) bool { return c.zone[i] == p.zone })
-		for k, s := range p.sheets {
-			w := &walk{p: p, s: s, path: turn(near, home[p.zone]), took: make([]bool, len(c.id))}
-			n, out := size(&p.size[k], p.rate()/asks, lines, len(order)), 0
-			if !s.near {
-				stay := min(1, room[p.zone]/max(rooms, 1e-9)/(asked[p.zone]/asks))
-				in := min(int(math.Round(float64(n)*stay)), len(near))
-				n, out = in, n-in
-			}
-			w.step(c, float64(n), mean, cover)
-			if home[p.zone] += w.end; !s.near {
-				in := w.end
-				w.path = append(w.path[:in], turn(far, away)...)
-				w.step(c, float64(out), mean, cover)
-				away += w.end - in
-			}
-			walks = append(walks, w)
-		}
+		near, far = turn(near, starts[p.zone]), turn(far, starts[p.zone])
+		starts[p.zone] += int(n)
+		w.fill, w.least, w.per = n*mean, min(n, arcLeast), p.held/n/mean
+		w.path = near
+		if !w.s.near {
+			w.path = slices.Concat(near, far)
+		}
+		w.step(c, w.path, bound)
+		rest := slices.Clone(w.path)
+		slices.SortStableFunc(rest, func(a, b int) int {
+			return cmp.Compare(c.carry[a]/c.weight[a]/c.ease[a]/c.trust[a], c.carry[b]/c.weight[b]/c.ease[b]/c.trust[b])
+		})
+		w.step(c, rest, math.Inf(1))
 	}
 	// What the arcs leave out goes to those that would reach it soonest.
 	for _, i := range order {
-		for cover[i] < coverage {
+		for c.cover[i] < coverage {
 			var best *walk
 			gap := len(order)
 			for _, w := range walks {
 				at := slices.Index(w.path, i)
-				if at >= 0 && at-w.end < gap && !w.took[i] && c.bench[i][w.p.zone] <= c.now {
-					best, gap = w, at-w.end
+				if at >= 0 && at < gap && !w.took[i] && c.bench[i][w.p.zone] <= c.now {
+					best, gap = w, at
 				}
 			}
 			if best == nil {
 				break
 			}
 			best.took[i] = true
-			cover[i]++
+			c.cover[i]++
 		}
 	}
 	for _, w := range walks {
@@ -374,7 +401,7 @@
 	switch n := n.(type) {
 	case Joined:
 		// The stream is new: a push of the last one is forgotten, and nothing of ours is bound.
-		p.joined, p.bound, p.flying, p.due, p.sent, p.size = true, false, false, 0, nil, [2]int{}
+		p.joined, p.bound, p.flying, p.due, p.sent, p.size = true, false, false, 0, nil, 0
 		p.zone = c.place(n.Zone)
 		if p.rate() == 0 {
 			for m := range p.usage {
@@ -675,6 +702,9 @@
 	default:
 		g.jammed = g.jammed && c.now < g.since+gateSpan
 		g.limit *= 1.05
+		if jam == 0 {
+			g.limit *= 1.1
+		}
 	}
 	share := g.shares()
 	if was != g.jammed || !slices.Equal(share, g.share) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -130,7 +130,7 @@
 	c.state, c.start = append(c.state, Gone), append(c.start, 0)
 	c.hash = append(c.hash, crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id))))
 	c.ease, c.shut, c.probe = append(c.ease, 1), append(c.shut, false), append(c.probe, 0)
-	c.owed = append(c.owed, 0)
+	c.owed, c.trust, c.leant = append(c.owed, 0), append(c.trust, 1), append(c.leant, 0)
 	c.tries, c.bad = append(c.tries, nil), append(c.bad, nil)
 	c.delay, c.last = append(c.delay, nil), append(c.last, nil)
 	c.bench, c.fouls = append(c.bench, nil), append(c.fouls, nil)
@@ -157,11 +157,13 @@
 
 // walk is the way one arc takes: the servers in order, and those that it has taken.
 type walk struct {
-	p    *proxy
-	s    *sheet
-	path []int
-	took []bool
-	end  int
+	p     *proxy
+	s     *sheet
+	path  []int
+	took  []bool
+	fill  float64 // weight still to take
+	least float64 // servers still to take
+	per   float64 // usage for each weight
 }
 
 func turn(ring []int, at int) []int {
@@ -180,7 +182,8 @@
 	zone      int
 	joined    bool
 	bound     bool
-	size      [2]int    // of its arcs, by sheet
+	size      int       // of its arc
+	held      float64   // its usage when that was set
 	usage     []float64 // RPCs a second, by method
 	summed    []Seconds // when each was last told
 	sheets    []*sheet
--- a/choice/types.go
+++ b/choice/types.go
@@ -276,6 +276,10 @@
 	start      []Seconds // of its process
 	hash       []uint32
 	ease       []float64 // share of its full weight
+	carry      []float64 // usage that the arcs dealt so far bring it
+	trust      []float64 // of its part of the usage, what arcs may bring it
+	leant      []Seconds // when that was last looked at
+	cover      []int     // arcs over it
 	shut       []bool    // withdrawn by our order
 	owed       []Seconds // since when a withdrawal is owed; 0: none is
 	tries, bad [][]float64
