--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,16 +1,10 @@
 // Package choice is the decision module: a central planner that gives plain proxies their tables.
 //
-// Call New once with what is read at start, then Step with each batch of events; Step returns the orders,
-// to be
-// carried out in that order. The interface (ids, events, orders, bootstrap names) is in types.go, the
-// parts' state
-// in state.go. An instance shares nothing and knows no wire: same events, same orders.
-//
-// How it works. Each backend and each proxy is an actor with an inbox; so are the roll (the list), the
-// ring (the
-// arcs), the gate (levels and tries) and the channel. They talk by notes, which one loop delivers. Per
-// proxy there
-// is one push in flight, clocked by the proxy's answer to its mark; what changes meanwhile goes as one delta.
+// Call New once with what is read at start, then Step with each batch of events; Step returns the orders, to
+// be carried out in that order. The interface is in types.go, the parts' state in state.go. An instance
+// shares nothing and knows no wire: same events, same orders. Each backend and each proxy is an actor with an
+// inbox; so are the roll (the list), the ring (the arcs), the gate (levels and tries) and the channel. Per proxy
+// one push is in flight, clocked by the answer to its mark; what changes meanwhile goes as one delta.
 package choice
 
 import (
@@ -22,7 +16,7 @@
 
 const (
 	tick         = 0.25 // how often time-driven parts look again
-	arcLeast     = 3
+	arcLeast     = 3    // servers in an arc
 	coverage     = 2    // arcs over each server
 	fair         = 1.35 // of its part of the usage, what a server takes before arcs pass it over
 	arcMean      = 6.0  // servers in an arc, on average
@@ -36,12 +30,13 @@
 	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
 	benchMost    = 20.0
 	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
+	silentTries  = 5.0  // answers that a server owes before it is asked
 	probeEvery   = 1.0
-	leanDelay    = 0.5 // of the shortest soft deadline, what answers of a server take before arcs lean away from it
+	leanDelay    = 0.4 // of the shortest soft deadline, what a server takes before arcs lean away from it
 	leanLeast    = 0.4
 	leanEvery    = 3.0
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
-	jamDelay     = 0.8  // or a mean time of this much of the shortest soft deadline
+	jamDelay     = 0.6  // or a mean time of this much of the shortest soft deadline
 	limitLeast   = 0.8  // of the best rate of answers seen
 	gateSpan     = 4.0  // seconds over which the gate looks back
 	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
@@ -51,9 +46,6 @@
 // New makes an instance.
 func New(b Bootstrap) *Planner {
 	c := &Planner{boot: b, now: b.Now, index: map[EP]int{}, zones: map[Zone]int{}}
-	for z := 0; z < int(b.Num("zones.n", 0)); z++ {
-		c.place(Zone(b.Word(fmt.Sprintf("zones.%d", z))))
-	}
 	c.roll, c.ring = &roll{c: c}, &ring{c: c}
 	c.gate, c.channel = newGate(c), &channel{c: c, usual: b.Num("push_time", 0.2)}
 	return c
@@ -75,13 +67,15 @@
 		c.loop()
 	}
 	if c.boot.Num("slices", 0) == 0 {
+		if c.ring.dirty {
+			c.ring.deal()
+		}
 		c.pull()
 		for _, p := range c.proxies {
 			c.post(p, flush{})
 		}
 		c.loop()
 		c.readmit()
-		c.loop()
 		c.seal()
 	}
 	return c.out
@@ -92,8 +86,8 @@
 	switch n := n.(type) {
 	case Listed:
 		if n.Kind == ListFailed {
-			// Against a list service that is jammed by everybody asking again at once: later each time, by chance,
-			// but well inside the time after which we would count as told.
+			// Against a list service that is jammed by everybody asking again at once: later each time,
+			// by chance, but well inside the time after which we would count as told.
 			r.tried = min(r.tried+1, 4)
 			r.ask = c.now + min(0.25*math.Exp2(float64(r.tried)), c.boot.Num("ask_within", 10)/3)*(0.5+c.chance())
 			return
@@ -134,43 +128,30 @@
 	case Entry:
 		b.listed(n)
 	case TrySum:
-		z := c.place(n.Zone)
-		keep := math.Exp(-(c.now - c.last[i][z]) / healthSpan)
-		c.last[i][z] = c.now
-		good := float64(n.Tries - n.Bad)
-		if have := (c.tries[i][z] - c.bad[i][z]) * keep; good > 0 {
-			c.delay[i][z] = (c.delay[i][z]*have + n.Delay*good) / (have + good)
-		}
-		c.tries[i][z] = c.tries[i][z]*keep + float64(n.Tries)
-		c.bad[i][z] = c.bad[i][z]*keep + float64(n.Bad)
+		c.met(i, n, healthSpan)
 		b.judge()
 	case Probed:
-		if !n.OK && !n.Busy {
-			for z := range c.bench[i] {
-				if c.bench[i][z] > c.now {
-					c.bench[i][z] = max(c.bench[i][z], c.now+2*probeEvery)
-				}
-			}
-		}
+		b.probed(n)
 	case clock:
 		if ease := b.climb(); ease != c.ease[i] {
 			c.ease[i] = ease
 			c.post(c.ring, redo{})
 		}
-		benched := false
 		for z, until := range c.bench[i] {
-			if until > c.now {
-				benched = true
-			} else if until > 0 {
+			if until > 0 && until <= c.now {
 				// Sums of the time before the bench must not bench it again.
 				c.bench[i][z], c.tries[i][z], c.bad[i][z] = 0, 0, 0
 				c.post(c.ring, redo{})
-			} else if c.fouls[i][z] > 0 && c.tries[i][z] >= healthTries && c.bad[i][z] < 0.1*c.tries[i][z] {
+			} else if c.tries[i][z] >= healthTries && c.bad[i][z] < 0.1*c.tries[i][z] {
 				c.fouls[i][z] = 0
 			}
 		}
 		b.lean()
-		if benched && c.state[i] == Open && c.now >= c.probe[i] && c.boot.Flag("probes") {
+		// Silence proves nothing, but where others are heard it is worth a question.
+		quiet := c.heard - max(c.good[i], c.dealt[i])
+		silent := quiet > 1.5*c.boot.Num("report_period", 1) && quiet*c.carry[i] > silentTries && !c.gate.jammed
+		ask := c.boot.Flag("probes") && c.state[i] == Open && c.now >= c.probe[i]
+		if ask && (silent || c.deaf[i] > 0) {
 			c.probe[i] = c.now + probeEvery
 			c.out = append(c.out, Probe{c.id[i]})
 		}
@@ -184,9 +165,7 @@
 	}
 	if e.State == Open && e.Start > c.start[i] {
 		// A restart under the same id: what was held against the old process is void, and it is cold.
-		for z := range c.bench[i] {
-			c.bench[i][z], c.fouls[i][z], c.tries[i][z], c.bad[i][z] = 0, 0, 0, 0
-		}
+		c.forget(i)
 	}
 	c.state[i], c.start[i] = e.State, max(e.Start, c.start[i])
 	c.ease[i] = b.climb()
@@ -201,21 +180,20 @@
 }
 
 // climb is the share of its full weight that a server may have: it follows the slowest warming that the
-// bootstrap
-// allows, in few steps, each at the capacity surely there when the step begins.
+// bootstrap allows, in few steps, each at the capacity surely there when the step begins.
 func (b *backend) climb() float64 {
 	span, cold := b.c.boot.Num("warm_after", 10), b.c.boot.Num("cold_share", 0.3)
-	age := b.c.now - b.c.start[b.i]
-	if b.c.start[b.i] == 0 || age >= span || span <= 0 {
+	since := max(b.c.start[b.i], b.c.back[b.i])
+	age := b.c.now - since
+	if since == 0 || age >= span || span <= 0 {
 		return 1
 	}
 	return cold + (1-cold)*math.Floor(max(age, 0)/span*climbSteps)/climbSteps
 }
 
 // judge benches a server that does badly while the others do not: one that aborts, hangs, or can't be
-// reached,
-// for all zones or for the one from which it does. Silence proves nothing, and trouble of most servers is
-// a jam.
+// reached, for all zones or for the one from which it does. Silence proves nothing, and trouble of most
+// servers is a jam.
 func (b *backend) judge() {
 	c, i := b.c, b.i
 	all, bad := sum(c.tries[i]), sum(c.bad[i])
@@ -233,31 +211,53 @@
 	}
 }
 
-// lean lowers the part of the usage that arcs bring a server whose answers take too long while most do not: one that is
-// slower than listed, or stalls. Its weight stays as listed; fewer arcs take it. It comes back in small steps.
+// probed takes a server that answers neither RPCs nor probes out of all arcs until it answers a probe:
+// one that died, hangs or is cut off, long before its RPCs time out or the list tells. It comes back as a
+// cold one does, as it may have restarted. When most seem deaf, it is we who are cut off.
+func (b *backend) probed(n Probed) {
+	c, i := b.c, b.i
+	was := c.away(i)
+	switch {
+	case n.OK:
+		if c.good[i] = c.now; was {
+			c.back[i], c.ease[i] = c.now, 0
+		}
+		c.deaf[i] = 0
+	case !n.Busy:
+		c.deaf[i]++
+	}
+	if was != c.away(i) {
+		c.post(c.ring, redo{})
+	}
+}
+
+// away tells whether a server has been deaf to two probes, and most others have not.
+func (c *Planner) away(i int) bool {
+	deaf := c.open(func(k int) float64 { return min(1, float64(c.deaf[k]/2)) })
+	return c.deaf[i] >= 2 && 2*deaf < c.open(func(int) float64 { return 1 })
+}
+
+// lean lowers the part of the usage that arcs bring a server whose answers take too long while most do
+// not: one that is slower than listed, or stalls. Its weight stays as listed; fewer arcs take it. It
+// comes back in small steps.
 func (b *backend) lean() {
 	c, i := b.c, b.i
 	if c.now < c.leant[i]+leanEvery {
 		return
 	}
 	c.leant[i] = c.now
-	good, time := 0.0, 0.0
-	for z, t := range c.tries[i] {
-		if c.now < c.last[i][z]+leanEvery {
-			good, time = good+t-c.bad[i][z], time+(t-c.bad[i][z])*c.delay[i][z]
-		}
-	}
-	switch slow := time / max(good, 1e-9) / c.gate.soft; {
-	case good < healthTries:
-	case slow > leanDelay && !c.gate.jammed:
+	good, mean := c.answers(i, c.now-leanEvery)
+	switch slow := mean / c.gate.soft; {
+	case good < healthTries || c.gate.jammed:
+	case slow > leanDelay:
 		c.trust[i] = max(leanLeast, c.trust[i]*0.85)
-	case slow < leanDelay:
+	default:
 		c.trust[i] = min(1, c.trust[i]+0.05)
 	}
 }
 
-// others gives the share of bad tries from a zone at all servers but one, and whether that one can be spared:
-// health never takes most of the fleet.
+// others gives the share of bad tries from a zone at all servers but one, and whether that one can be
+// spared: health never takes most of the fleet.
 func (c *Planner) others(z, one int) (usual float64, spare bool) {
 	all, bad, open, out := 1.0, 0.0, 0.0, c.weight[one]
 	for i := range c.id {
@@ -279,18 +279,10 @@
 func (r *ring) take(n note) {
 	switch n.(type) {
 	case redo:
-		if !r.dirty { // once a round, after all other notes
-			r.dirty = true
-			r.c.post(r, flush{})
-		}
-	case flush:
-		r.dirty = false
-		r.deal()
+		r.dirty = true
 	case clock:
-		if r.c.now >= r.sized+1 {
-			r.sized = r.c.now
-			r.c.post(r, redo{})
-		}
+		// Usage and leanings drift, so the arcs are looked at again now and then.
+		r.dirty = r.dirty || r.c.now >= r.sized+1
 	}
 }
 
@@ -303,9 +295,9 @@
 	return p.size
 }
 
-// step takes servers from the path until they fill so many places. One that has its part of the usage already is
-// passed over, as in consistent hashing with bounded loads; so is one on the bench. One that is cold or shut takes a
-// place but fills less of it, so that an arc has enough warm weight beside a cold server.
+// step takes servers from the path until they fill an arc. One that has its part of the usage already is
+// passed over, as in consistent hashing with bounded loads; so is one on the bench. One that is cold
+// fills less of its place, so that an arc has enough warm weight beside it.
 func (w *walk) step(c *Planner, path []int, bound float64) {
 	for _, i := range path {
 		place := c.ease[i] * c.weight[i]
@@ -325,14 +317,15 @@
 
 func (r *ring) deal() {
 	c := r.c
-	order := c.hashed(func(i int) bool { return c.state[i] == Open })
-	room, asks, mean := 0.0, 1e-9, 0.0
-	for _, i := range order {
-		mean += c.weight[i] / float64(len(order))
-		if !c.shut[i] {
-			room += c.weight[i] * c.ease[i]
-		}
-	}
+	r.dirty, r.sized = false, c.now
+	order := c.hashed(func(i int) bool { return c.state[i] == Open && !c.away(i) })
+	asks, mean := 1e-9, c.open(func(i int) float64 { return c.weight[i] })/float64(len(order))
+	room := c.open(func(i int) float64 {
+		if c.shut[i] || c.away(i) {
+			return 0
+		}
+		return c.weight[i] * c.ease[i]
+	})
 	var walks []*walk
 	joined := 0.0
 	for _, p := range c.proxies {
@@ -348,7 +341,8 @@
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
 	c.carry, c.cover = make([]float64, len(c.id)), make([]int, len(c.id))
 	starts := make([]int, len(c.zones))
-	// The proxies of other coordinators are taken to bring the servers their even part, as nothing tells more.
+	// The proxies of other coordinators are taken to bring the servers their even part, as nothing tells
+	// more.
 	bound := asks * (1 + (fair-1)*max(1, c.boot.Num("proxies", 1)/max(joined, 1))) / room
 	for _, w := range walks {
 		p := w.p
@@ -364,26 +358,20 @@
 		w.step(c, w.path, bound)
 		rest := slices.Clone(w.path)
 		slices.SortStableFunc(rest, func(a, b int) int {
-			return cmp.Compare(c.carry[a]/c.weight[a]/c.ease[a]/c.trust[a], c.carry[b]/c.weight[b]/c.ease[b]/c.trust[b])
+			return cmp.Compare(c.rich(a), c.rich(b))
 		})
 		w.step(c, rest, math.Inf(1))
 	}
 	// What the arcs leave out goes to those that would reach it soonest.
 	for _, i := range order {
-		for c.cover[i] < coverage {
-			var best *walk
-			gap := len(order)
-			for _, w := range walks {
-				at := slices.Index(w.path, i)
-				if at >= 0 && at < gap && !w.took[i] && c.bench[i][w.p.zone] <= c.now {
-					best, gap = w, at
-				}
-			}
-			if best == nil {
-				break
+		slices.SortStableFunc(walks, func(a, b *walk) int {
+			return cmp.Compare(slices.Index(a.path, i), slices.Index(b.path, i))
+		})
+		for _, w := range walks {
+			if c.cover[i] < coverage && slices.Contains(w.path, i) && !w.took[i] && c.bench[i][w.p.zone] <= c.now {
+				w.took[i] = true
+				c.cover[i]++
 			}
-			best.took[i] = true
-			c.cover[i]++
 		}
 	}
 	for _, w := range walks {
@@ -454,33 +442,21 @@
 }
 
 // urgent tells whether a table has lost all lines that may be used, or gives a cold server more than it
-// may have;
-// such news can't wait for an answer.
+// may have; such news can't wait for an answer.
 func (p *proxy) urgent(s *sheet) bool {
 	c := p.c
-	usable, better := false, false
-	for _, l := range s.told {
-		usable = usable || !c.shut[l.ep]
-		if c.ease[l.ep] < 1 && c.state[l.ep] == Open && l.w > 1.3*c.ease[l.ep]*c.weight[l.ep] {
-			return true
-		}
-	}
-	for _, l := range s.want {
-		better = better || !c.shut[l.ep]
-	}
-	return p.bound && !usable && better
+	usable := func(l line) bool { return !c.shut[l.ep] }
+	cold := func(l line) bool { return c.ease[l.ep] < 1 && l.w > 1.3*c.ease[l.ep]*c.weight[l.ep] }
+	bare := !slices.ContainsFunc(s.told, usable) && slices.ContainsFunc(s.want, usable)
+	return p.bound && (bare || slices.ContainsFunc(s.told, cold))
 }
 
 func (p *proxy) differs(s *sheet) bool {
-	if len(s.want) > 0 && !slices.Equal(s.want, s.told) {
-		return true
-	}
+	other := !slices.Equal(s.want, s.told)
 	for m := range p.share {
-		if s.methods>>m&1 == 1 && (s.level[m] != p.level(m) || s.tries[m] != p.tries[m]) {
-			return len(s.want) > 0
-		}
+		other = other || s.has(m) && (s.level[m] != p.level(m) || s.tries[m] != p.tries[m])
 	}
-	return false
+	return other && len(s.want) > 0
 }
 
 // level is what a table lets in of a method, in the unit that the proxies go by.
@@ -508,7 +484,7 @@
 	}
 	s.told = slices.Clone(s.want)
 	for m := range p.share {
-		if level := p.level(m); s.methods>>m&1 == 1 && (s.level[m] != level || s.tries[m] != p.tries[m]) {
+		if level := p.level(m); s.has(m) && (s.level[m] != level || s.tries[m] != p.tries[m]) {
 			s.level[m], s.tries[m] = level, p.tries[m]
 			if c.boot.Word("level_kind") == "rate" && level == 1 {
 				level = 1e6
@@ -519,8 +495,9 @@
 	}
 }
 
-// pull sends the withdrawals that are owed, without waiting for answers. When many have gone of late they are
-// gathered for part of the grace, against a list that drops its servers one by one and a limit on messages.
+// pull sends the withdrawals that are owed, without waiting for answers. When many have gone of late they
+// are gathered for part of the grace, against a list that drops its servers one by one and a limit on
+// messages.
 func (c *Planner) pull() {
 	oldest := math.Inf(1)
 	for _, since := range c.owed {
@@ -548,7 +525,7 @@
 		risky := func(p *proxy) bool { return p.joined && p.heaviest(i) > 1.05*c.weight[i]*c.ease[i] }
 		if !slices.ContainsFunc(c.proxies, risky) {
 			c.withdraw(i, false)
-			c.post(c.ring, redo{})
+			c.ring.dirty = true
 		}
 	}
 }
@@ -570,8 +547,8 @@
 	}
 }
 
-// few tells whether a proxy has had so few messages of late that the ordinary path may send more: part of the
-// limit stays free for what can't be put off.
+// few tells whether a proxy has had so few messages of late that the ordinary path may send more: part of
+// the limit stays free for what can't be put off.
 func (h *channel) few(p *proxy) bool {
 	most, span := h.c.boot.Num("messages", 0), h.c.boot.Num("messages_span", 10)
 	for len(p.sent) > 0 && p.sent[0] < h.c.now-span-1 {
@@ -618,7 +595,8 @@
 		at := fmt.Sprintf("method.%d.", m)
 		// Idempotent RPCs too: a second send after a mere time-out feeds the jam that it came from.
 		tries := TryProven
-		// A second send is at most one try's wait after the first; all servers must then still drop the repeat.
+		// A second send is at most one try's wait after the first; all servers must then still drop the
+		// repeat.
 		soon := c.boot.Num("try_wait", 1)*c.boot.Num(at+"soft_deadline", 1) < 0.9*c.boot.Num(at+"window", 0)
 		if c.boot.Word(at+"effect") == "tokened" && c.boot.Word(at+"group") == "all" && soon {
 			tries = TryAgain
@@ -657,8 +635,7 @@
 }
 
 // look tells a jam from single failures: most servers do badly together, each judged by the zone that
-// fares best
-// with it, as a cut between zones is no jam.
+// fares best with it, as a cut between zones is no jam.
 func (g *gate) look() {
 	c := g.c
 	jam, all, good := 0.0, 0.0, 0.0
@@ -679,12 +656,7 @@
 			}
 		}
 	}
-	room := 1e-9
-	for i := range c.id {
-		if c.state[i] == Open {
-			room += c.weight[i] * c.ease[i]
-		}
-	}
+	room := 1e-9 + c.open(func(i int) float64 { return c.weight[i] * c.ease[i] })
 	g.best = max(g.best, good/room)
 	was := g.jammed
 	switch {
@@ -692,19 +664,16 @@
 		return
 	case jam >= jamPart*all:
 		g.jammed, g.since = true, c.now
-		// What was answered is what can be: letting in a little less lets the queues run off.
-		// Not below most of what such a fleet has answered before, as the sums are late and the queues hide it.
+		// What was answered is what can be: letting in a little less lets the queues run off. Not below
+		// most of what such a fleet has answered before, as the sums are late and the queues hide it.
 		if c.now >= g.cut+gateSpan/2 {
-			g.cut, g.limit = c.now, max(min(g.limit, good*0.95), limitLeast*g.best*room)
+			g.cut, g.limit = c.now, max(min(g.limit, good*0.85), limitLeast*g.best*room)
 		}
 	case jam > jamPart/2*all:
 		g.since = c.now
 	default:
 		g.jammed = g.jammed && c.now < g.since+gateSpan
-		g.limit *= 1.05
-		if jam == 0 {
-			g.limit *= 1.1
-		}
+		g.limit *= 1.05 + 0.1*math.Floor(1-jam/all)
 	}
 	share := g.shares()
 	if was != g.jammed || !slices.Equal(share, g.share) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"math"
 	"slices"
 )
 
@@ -27,6 +28,7 @@
 	waiting []part
 	out     []Order
 	alarm   Seconds
+	heard   Seconds // the newest sum
 }
 
 func (c *Planner) parts() []part {
@@ -129,7 +131,10 @@
 	c.id, c.zone, c.weight = append(c.id, id), append(c.zone, 0), append(c.weight, 1)
 	c.state, c.start = append(c.state, Gone), append(c.start, 0)
 	c.hash = append(c.hash, crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id))))
+	c.carry, c.cover = append(c.carry, 0), append(c.cover, 0)
 	c.ease, c.shut, c.probe = append(c.ease, 1), append(c.shut, false), append(c.probe, 0)
+	c.good, c.back, c.dealt = append(c.good, 0), append(c.back, 0), append(c.dealt, c.now)
+	c.deaf = append(c.deaf, 0)
 	c.owed, c.trust, c.leant = append(c.owed, 0), append(c.trust, 1), append(c.leant, 0)
 	c.tries, c.bad = append(c.tries, nil), append(c.bad, nil)
 	c.delay, c.last = append(c.delay, nil), append(c.last, nil)
@@ -341,3 +346,50 @@
 	}
 	return lines
 }
+
+// met adds a sum to the faded sums of its pair.
+func (c *Planner) met(i int, n TrySum, span Seconds) {
+	z := c.place(n.Zone)
+	keep := math.Exp(-(c.now - c.last[i][z]) / span)
+	c.last[i][z], c.heard = c.now, c.now
+	good := float64(n.Tries - n.Bad)
+	if have := (c.tries[i][z] - c.bad[i][z]) * keep; good > 0 {
+		c.delay[i][z] = (c.delay[i][z]*have + n.Delay*good) / (have + good)
+		c.good[i] = c.now
+	}
+	c.tries[i][z] = c.tries[i][z]*keep + float64(n.Tries)
+	c.bad[i][z] = c.bad[i][z]*keep + float64(n.Bad)
+}
+
+// answers gives how many good answers of a server were heard of since a time, and their mean delay.
+func (c *Planner) answers(i int, since Seconds) (good float64, mean Seconds) {
+	for z, t := range c.tries[i] {
+		if c.last[i][z] > since {
+			good, mean = good+t-c.bad[i][z], mean+(t-c.bad[i][z])*c.delay[i][z]
+		}
+	}
+	return good, mean / max(good, 1e-9)
+}
+
+// open adds up a figure of the open servers.
+func (c *Planner) open(figure func(i int) float64) (total float64) {
+	for i := range c.id {
+		if c.state[i] == Open {
+			total += figure(i)
+		}
+	}
+	return total
+}
+
+func (s *sheet) has(m int) bool { return s.methods>>m&1 == 1 }
+
+// forget drops all that was held against a server.
+func (c *Planner) forget(i int) {
+	c.trust[i], c.deaf[i] = 1, 0
+	for z := range c.bench[i] {
+		c.bench[i][z], c.fouls[i][z], c.tries[i][z], c.bad[i][z] = 0, 0, 0, 0
+	}
+}
+
+// rich is how much of its part of the usage the arcs bring a server.
+func (c *Planner) rich(i int) float64 { return c.carry[i] / c.weight[i] / c.ease[i] / c.trust[i] }
--- a/choice/types.go
+++ b/choice/types.go
@@ -267,25 +267,28 @@
 	lines int
 }
 
-// figures of the backends, as parallel arrays under a dense index; those by pair have a place for each zone.
+// figures of the backends, as parallel arrays under a dense index; those by pair have a place for each
+// zone.
 type figures struct {
-	id         []EP
-	zone       []int
-	weight     []float64
-	state      []State
-	start      []Seconds // of its process
-	hash       []uint32
-	ease       []float64 // share of its full weight
-	carry      []float64 // usage that the arcs dealt so far bring it
-	trust      []float64 // of its part of the usage, what arcs may bring it
-	leant      []Seconds // when that was last looked at
-	cover      []int     // arcs over it
-	shut       []bool    // withdrawn by our order
-	owed       []Seconds // since when a withdrawal is owed; 0: none is
-	tries, bad [][]float64
-	delay      [][]float64 // mean time of good answers
-	last       [][]Seconds // of the sums
-	bench      [][]Seconds // kept out of that zone's arcs until then
-	fouls      [][]int     // times in a row that it was benched
-	probe      []Seconds   // next probe
+	id                []EP
+	zone              []int
+	weight            []float64
+	state             []State
+	start             []Seconds // of its process
+	hash              []uint32
+	ease              []float64 // share of its full weight
+	carry             []float64 // usage that the arcs dealt so far bring it
+	good, back, dealt []Seconds // last good answer; return from deafness; when it first got a part
+	deaf              []int     // probes in a row without an answer
+	trust             []float64 // of its part of the usage, what arcs may bring it
+	leant             []Seconds // when that was last looked at
+	cover             []int     // arcs over it
+	shut              []bool    // withdrawn by our order
+	owed              []Seconds // since when a withdrawal is owed; 0: none is
+	tries, bad        [][]float64
+	delay             [][]float64 // mean time of good answers
+	last              [][]Seconds // of the sums
+	bench             [][]Seconds // kept out of that zone's arcs until then
+	fouls             [][]int     // times in a row that it was benched
+	probe             []Seconds   // next probe
 }
