--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,7 +3,7 @@
 // Call New once with what is read at start, then Step with each batch of events; Step returns the orders, to
 // be carried out in that order. The interface is in types.go, the parts' state in state.go. An instance
 // shares nothing and knows no wire: same events, same orders. Each backend and each proxy is an actor with an
-// inbox; so are the roll (the list), the ring (the arcs), the gate (levels and tries) and the channel. Per proxy
+// inbox; so are the roll (the list), the ring (the arcs), the gate (levels, tries) and the channel. Per proxy
 // one push is in flight, clocked by the answer to its mark; what changes meanwhile goes as one delta.
 package choice
 
@@ -67,15 +67,15 @@
 		c.loop()
 	}
 	if c.boot.Num("slices", 0) == 0 {
+		c.pull()
+		c.readmit()
 		if c.ring.dirty {
 			c.ring.deal()
 		}
-		c.pull()
 		for _, p := range c.proxies {
 			c.post(p, flush{})
 		}
 		c.loop()
-		c.readmit()
 		c.seal()
 	}
 	return c.out
@@ -220,7 +220,8 @@
 	switch {
 	case n.OK:
 		if c.good[i] = c.now; was {
-			c.back[i], c.ease[i] = c.now, 0
+			c.back[i] = c.now
+			c.ease[i] = b.climb()
 		}
 		c.deaf[i] = 0
 	case !n.Busy:
@@ -304,7 +305,7 @@
 		if w.fill < place/2 && w.least < 0.5 {
 			return
 		}
-		if !w.took[i] && c.bench[i][w.p.zone] <= c.now && c.carry[i]+w.per*place <= bound*place*c.trust[i] {
+		if !w.took[i] && c.fit(i, w.p.zone) && c.carry[i]+w.per*place <= bound*place*c.trust[i] {
 			w.took[i] = true
 			c.carry[i] += w.per * place
 			c.cover[i]++
@@ -318,10 +319,10 @@
 func (r *ring) deal() {
 	c := r.c
 	r.dirty, r.sized = false, c.now
-	order := c.hashed(func(i int) bool { return c.state[i] == Open && !c.away(i) })
+	order := c.hashed(func(i int) bool { return c.state[i] == Open })
 	asks, mean := 1e-9, c.open(func(i int) float64 { return c.weight[i] })/float64(len(order))
 	room := c.open(func(i int) float64 {
-		if c.shut[i] || c.away(i) {
+		if c.away(i) {
 			return 0
 		}
 		return c.weight[i] * c.ease[i]
@@ -357,10 +358,14 @@
 		}
 		w.step(c, w.path, bound)
 		rest := slices.Clone(w.path)
-		slices.SortStableFunc(rest, func(a, b int) int {
-			return cmp.Compare(c.rich(a), c.rich(b))
-		})
+		slices.SortStableFunc(rest, func(a, b int) int { return cmp.Compare(c.rich(a), c.rich(b)) })
 		w.step(c, rest, math.Inf(1))
+		// Health never leaves an arc bare: what is unfit still beats nothing.
+		if !slices.ContainsFunc(w.path, func(i int) bool { return w.took[i] && !c.shut[i] }) {
+			for _, i := range w.path {
+				w.took[i] = true
+			}
+		}
 	}
 	// What the arcs leave out goes to those that would reach it soonest.
 	for _, i := range order {
@@ -368,7 +373,7 @@
 			return cmp.Compare(slices.Index(a.path, i), slices.Index(b.path, i))
 		})
 		for _, w := range walks {
-			if c.cover[i] < coverage && slices.Contains(w.path, i) && !w.took[i] && c.bench[i][w.p.zone] <= c.now {
+			if c.cover[i] < coverage && slices.Contains(w.path, i) && !w.took[i] && c.fit(i, w.p.zone) {
 				w.took[i] = true
 				c.cover[i]++
 			}
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,582 @@
+package choice
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+)
+
+// world is a small model of what the proxies hold, fed by the orders; it checks the rules after every step.
+type world struct {
+	t        *testing.T
+	c        *Planner
+	now      Seconds
+	shut     map[EP]bool
+	tables   map[Table]map[EP]float64
+	bound    map[Proxy][]Table
+	open     map[EP]Entry // the list as last told, open ones only
+	told     map[EP]State
+	joined   map[Proxy]bool
+	unacked  map[Proxy][]Mark
+	sent     map[Proxy][]Seconds
+	waiting  map[Mark]int
+	orders   []Order
+	messages map[Proxy]bool // of the last step
+	zone     map[Proxy]Zone
+}
+
+func values(more map[string]any) map[string]any {
+	v := map[string]any{"listing": "asked", "ask_within": 10.0, "cold_share": 0.2, "warm_after": 12.0, "drain_grace": 2.0,
+		"fall_multiple": 3.0, "channel_room": 6000.0, "channel_pace": 4000.0, "message_lines": 10.0, "messages": 20.0,
+		"messages_span": 10.0, "push_time": 0.2, "push_time_worst": 0.4, "proxies": 6.0, "level_kind": "share",
+		"report_period": 1.0, "probes": true, "try_wait": 0.8, "zones.n": 2.0, "zones.0": "a", "zones.1": "b",
+		"method.n": 3.0, "method.0.soft_deadline": 1.0, "method.0.criticality": 1.0, "method.0.effect": "idempotent",
+		"method.1.effect": "non-idempotent", "method.1.soft_deadline": 1.0, "method.1.criticality": 2.0,
+		"method.2.effect": "tokened", "method.2.group": "all", "method.2.window": 5.0, "method.2.soft_deadline": 1.0}
+	for k, x := range more {
+		v[k] = x
+	}
+	return v
+}
+
+func newWorld(t *testing.T, more map[string]any) *world {
+	return &world{t: t, c: New(Bootstrap{Seed: 7, Now: 100, Values: values(more)}), now: 100, shut: map[EP]bool{},
+		tables: map[Table]map[EP]float64{}, bound: map[Proxy][]Table{}, open: map[EP]Entry{}, told: map[EP]State{},
+		joined: map[Proxy]bool{}, unacked: map[Proxy][]Mark{}, sent: map[Proxy][]Seconds{}, waiting: map[Mark]int{},
+		zone: map[Proxy]Zone{}}
+}
+
+func (w *world) step(after Seconds, events ...Event) []Order {
+	w.now += after
+	for _, e := range events {
+		switch e := e.(type) {
+		case Listed:
+			if e.Kind == ListFull || e.Kind == ListKept {
+				for id := range w.told {
+					delete(w.open, id)
+					w.told[id] = Gone
+				}
+			}
+			for _, x := range e.Entries {
+				w.told[x.EP] = x.State
+				if delete(w.open, x.EP); x.State == Open {
+					w.open[x.EP] = x
+				}
+			}
+		case Joined:
+			w.joined[e.Proxy], w.zone[e.Proxy] = true, e.Zone
+			w.bound[e.Proxy], w.unacked[e.Proxy], w.sent[e.Proxy] = nil, nil, nil
+		case Left:
+			w.joined[e.Proxy], w.bound[e.Proxy], w.unacked[e.Proxy] = false, nil, nil
+		case Answered:
+			if q := w.unacked[e.Proxy]; len(q) > 0 && q[0] == e.Mark {
+				w.unacked[e.Proxy] = q[1:]
+				for m := range w.waiting { // what was sent before has left
+					if (e.Mark-m+MarkSpan)%MarkSpan < MarkSpan/2 && m != e.Mark {
+						delete(w.waiting, m)
+					}
+				}
+			}
+		}
+	}
+	flying, bare := map[Proxy]bool{}, map[Proxy]bool{}
+	late := map[Proxy]bool{}
+	for _, p := range w.c.proxies {
+		flying[p.id], late[p.id] = p.flying, w.now > p.left+0.7*silence*w.c.channel.usual // the usual time moves within the step
+	}
+	for p, tables := range w.bound {
+		for _, t := range tables {
+			bare[p] = bare[p] || !w.usable(t)
+		}
+	}
+	answered := map[Proxy]bool{}
+	for _, e := range events {
+		if a, ok := e.(Answered); ok {
+			answered[a.Proxy] = true
+		}
+		if j, ok := e.(Joined); ok {
+			answered[j.Proxy] = true
+		}
+	}
+	w.orders = w.c.Step(w.now, events)
+	w.apply()
+	w.check()
+	for p := range w.messages {
+		if flying[p] && !answered[p] && !late[p] && !bare[p] && !w.guarded() {
+			w.t.Fatalf("%.2f: proxy %d is sent an ordinary push with one in flight", w.now, p)
+		}
+	}
+	return w.orders
+}
+
+func (w *world) usable(t Table) bool {
+	for id := range w.tables[t] {
+		if !w.shut[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// guarded tells whether this step holds a guard's order, which skips the clock.
+func (w *world) guarded() bool {
+	for _, o := range w.orders {
+		switch o := o.(type) {
+		case Withdraw:
+			return true
+		case SetLine:
+			if i := w.c.index[o.EP]; w.c.ease[i] < 1 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *world) apply() {
+	w.messages = map[Proxy]bool{}
+	lines := 0
+	users := func(t Table) {
+		for p, ts := range w.bound {
+			for _, x := range ts {
+				if x == t && w.joined[p] {
+					w.messages[p] = true
+					lines++
+				}
+			}
+		}
+	}
+	for _, o := range w.orders {
+		switch o := o.(type) {
+		case SetLine:
+			if w.tables[o.Table] == nil {
+				w.tables[o.Table] = map[EP]float64{}
+			}
+			if w.tables[o.Table][o.EP] = o.Weight; o.Weight == 0 {
+				delete(w.tables[o.Table], o.EP)
+			}
+			users(o.Table)
+		case SetLevel:
+			users(o.Table)
+			if o.Methods&2 != 0 && o.Tries > TryProven || o.Methods&4 != 0 && o.Tries > TryAgain {
+				w.t.Fatalf("%.2f: forbidden tries %d for methods %b", w.now, o.Tries, o.Methods)
+			}
+		case BindTable:
+			if !w.joined[o.Proxy] {
+				w.t.Fatalf("%.2f: proxy %d is bound but has left", w.now, o.Proxy)
+			}
+			w.bound[o.Proxy] = append(w.bound[o.Proxy], o.Table)
+			w.messages[o.Proxy] = true
+			lines += 1 + len(w.tables[o.Table])
+		case Withdraw:
+			w.shut[o.EP] = o.On
+			for t, ls := range w.tables {
+				if _, ok := ls[o.EP]; ok {
+					users(t)
+				}
+			}
+		case SetMark:
+			for p := range w.messages {
+				w.unacked[p] = append(w.unacked[p], o.Mark)
+				w.sent[p] = append(w.sent[p], w.now)
+				lines += 11
+			}
+			w.waiting[o.Mark] = lines
+		}
+	}
+}
+
+func (w *world) check() {
+	for id, s := range w.told {
+		if i := w.c.index[id]; s != Open && !w.shut[id] && w.c.owed[i] == 0 {
+			w.t.Fatalf("%.2f: server %d is not open but neither withdrawn nor owed", w.now, id)
+		}
+		if i := w.c.index[id]; w.c.owed[i] > 0 && w.now-w.c.owed[i] > 1.3 {
+			w.t.Fatalf("%.2f: a withdrawal of %d has been owed for %.2f s", w.now, id, w.now-w.c.owed[i])
+		}
+	}
+	any := false
+	for id := range w.open {
+		any = any || !w.shut[id]
+	}
+	for p, ok := range w.joined {
+		if !ok {
+			continue
+		}
+		for _, t := range w.bound[p] {
+			if !w.usable(t) && any {
+				w.t.Fatalf("%.2f: table %d of proxy %d is empty beside an open server", w.now, t, p)
+			}
+		}
+		recent := 0
+		for _, at := range w.sent[p] {
+			if at > w.now-10 {
+				recent++
+			}
+		}
+		if recent > 20 {
+			w.t.Fatalf("%.2f: proxy %d got %d messages in 10 s", w.now, p, recent)
+		}
+	}
+	sum := 0
+	for _, n := range w.waiting {
+		sum += n
+	}
+	if sum > 6000 {
+		w.t.Fatalf("%.2f: %d lines wait", w.now, sum)
+	}
+}
+
+func full(n int, start Seconds) Listed {
+	l := Listed{Kind: ListFull}
+	for i := range n {
+		l.Entries = append(l.Entries, Entry{EP: EP(1000 + 77*i), State: Open, Start: start, Zone: Zone("ab"[i%2 : i%2+1]), Weight: 2})
+	}
+	return l
+}
+
+func (w *world) join(proxies int) {
+	for p := range proxies {
+		w.step(0.02, Joined{Proxy(p), Zone("ab"[p%2 : p%2+1]), 10, true})
+	}
+}
+
+// settle answers all that is unanswered, until nothing more comes.
+func (w *world) settle() {
+	for range 40 {
+		var all []Event
+		for p := range Proxy(12) {
+			if q := w.unacked[p]; len(q) > 0 {
+				all = append(all, Answered{p, q[0], 0.2})
+			}
+		}
+		w.step(0.3, all...)
+	}
+}
+
+func count[T Order](orders []Order) (n int) {
+	for _, o := range orders {
+		if _, ok := o.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestJoinGetsTheFullTableInOneMessage(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	out := w.step(0.1, Joined{0, "a", 10, true})
+	if count[BindTable](out) != 1 || count[SetMark](out) != 1 || len(w.tables[0]) < arcLeast {
+		t.Fatalf("a join gave %v", out)
+	}
+}
+
+func TestStaleMarksAreIgnored(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.step(0.1, Joined{0, "a", 10, true})
+	p := w.c.proxies[0]
+	mark := p.mark
+	w.step(0.01, Answered{0, mark + 1, 0.1}, Answered{0, mark + 9, 0.1})
+	if !p.flying {
+		t.Fatal("an unknown mark ended the push in flight")
+	}
+	if w.step(0.01, Answered{0, mark, 0.1}); p.flying || p.confirmed != 1 {
+		t.Fatalf("the mark did not confirm: %+v", p)
+	}
+	w.step(0.01, Left{0})
+	w.step(0.01, Joined{0, "a", 10, false})
+	if w.step(0.01, Answered{0, mark, 0.1}); !p.flying {
+		t.Fatal("a mark of the last stream ended the push of this one")
+	}
+}
+
+func TestMarksWrap(t *testing.T) {
+	w := newWorld(t, nil)
+	w.c.channel.mark = MarkSpan - 1
+	w.step(0, full(8, 0))
+	if w.step(0.1, Joined{0, "a", 10, true}); w.c.channel.mark != 0 {
+		t.Fatalf("mark %d", w.c.channel.mark)
+	}
+}
+
+// A slow channel must not set off resends; silence after the push has left must.
+func TestSilenceBringsTheFullTable(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.step(0.1, Joined{0, "a", 10, true})
+	if out := w.step(0.5); count[BindTable](out) != 0 {
+		t.Fatalf("resent too soon: %v", out)
+	}
+	if out := w.step(2); count[BindTable](out) != 1 {
+		t.Fatalf("not resent: %v", out)
+	}
+}
+
+func TestWithdrawalSkipsTheClockAndBringsReplacements(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(16, 0))
+	w.join(6)
+	w.settle()
+	w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{{EP: 9, State: Open, Zone: "a", Weight: 2}}})
+	l := Listed{Kind: ListDelta}
+	for id := range w.tables[0] {
+		l.Entries = append(l.Entries, Entry{EP: id, State: Draining, Zone: w.open[id].Zone, Weight: 2})
+	}
+	if out := w.step(0.05, l); count[Withdraw](out) != len(l.Entries) || count[SetLine](out) == 0 {
+		t.Fatalf("an emptied arc got %v", out)
+	}
+}
+
+// An empty list is obeyed, and costs one readmission a server when it proves wrong, not new tables.
+func TestEmptyListRecoversCheaply(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(4)
+	w.settle()
+	if out := w.step(0.1, Listed{Kind: ListFull}); count[Withdraw](out) != 8 {
+		t.Fatalf("an empty list gave %v", out)
+	}
+	if out := w.step(1, full(8, 0)); count[Withdraw](out) != 8 || count[SetLine](out) > 4 {
+		t.Fatalf("its return gave %v", out)
+	}
+}
+
+// A restart in place is cut back at once, by a push that does not wait for answers.
+func TestRestartInPlaceIsCutBack(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(4)
+	again := full(8, 0).Entries[0]
+	again.Start = w.now
+	w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{again}})
+	for table, lines := range w.tables {
+		if lines[again.EP] > 0.2*2+1e-9 {
+			t.Fatalf("table %d gives a cold server %v", table, lines[again.EP])
+		}
+	}
+}
+
+// feed tells of a second in which the servers answer, but for those with a share of bad tries.
+func (w *world) feed(servers int, delay Seconds, bad map[EP]float64, quiet map[EP]bool) {
+	var all []Event
+	for i := range servers {
+		id := EP(1000 + 77*i)
+		for _, z := range []Zone{"a", "b"} {
+			if !quiet[id] {
+				all = append(all, TrySum{EP: id, Zone: z, Tries: 6, Bad: int(6 * bad[id]), Delay: delay, Over: 1})
+			}
+		}
+	}
+	for p := range Proxy(6) {
+		if w.joined[p] {
+			all = append(all, UsageSum{Proxy: p, RPCs: 10, Over: 1}, UsageSum{Proxy: p, Method: 1, RPCs: 10, Over: 1})
+		}
+	}
+	w.step(1, all...)
+}
+
+func (w *world) lines(id EP) (n int) {
+	for _, lines := range w.tables {
+		if lines[id] > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAbortingServerIsBenchedAndReturns(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(4)
+	w.settle()
+	for range 3 {
+		w.feed(8, 0.1, map[EP]float64{1000: 0.7}, nil)
+		w.settle()
+	}
+	// settle outlasts the first bench, so the server is back; what it did must still stand against it.
+	if w.c.fouls[0][0] == 0 {
+		t.Fatal("an aborting server was not benched")
+	}
+	w.settle()
+	if w.lines(1000) == 0 {
+		t.Fatal("it never came back")
+	}
+}
+
+// Trouble of most servers together is a jam: nobody is benched, levels fall, the lowest criticality first.
+func TestJamShedsAndBenchesNobody(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(4)
+	bad := map[EP]float64{}
+	for i := range 8 {
+		bad[EP(1000+77*i)] = 0.6
+	}
+	for range 10 {
+		w.feed(8, 1.5, bad, nil)
+	}
+	g := w.c.gate
+	if !g.jammed || g.share[0] >= 1 || g.share[0] > g.share[1] {
+		t.Fatalf("jammed %v, shares %v", g.jammed, g.share)
+	}
+	for i := range w.c.id {
+		if w.c.bench[i][0] > w.now {
+			t.Fatal("a jam benched a server")
+		}
+	}
+	for range 40 {
+		w.feed(8, 0.1, nil, nil)
+	}
+	if g.share[0] < 1 {
+		t.Fatalf("levels did not come back: %v", g.share)
+	}
+}
+
+// A server that answers neither RPCs nor probes leaves the arcs; silence alone does not move it.
+func TestDeafServerLeavesTheArcs(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(6)
+	w.settle()
+	probed := 0
+	for range 6 {
+		w.feed(8, 0.1, nil, map[EP]bool{1000: true})
+		probed += count[Probe](w.orders)
+	}
+	if probed == 0 || w.c.away(0) {
+		t.Fatalf("%d probes, away %v", probed, w.c.away(0))
+	}
+	w.step(0.1, Probed{EP: 1000})
+	w.step(0.1, Probed{EP: 1000})
+	if w.settle(); !w.c.away(0) || w.lines(1000) > 0 {
+		t.Fatal("a deaf server kept its lines")
+	}
+	w.step(0.1, Probed{EP: 1000, OK: true})
+	if w.settle(); w.lines(1000) == 0 {
+		t.Fatal("a server that hears again got no lines")
+	}
+}
+
+// Arcs lean away from a server whose answers take long while the others' do not.
+func TestArcsLeanAwayFromASlowServer(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(6)
+	for range 20 {
+		w.feed(8, 0.1, nil, nil)
+		w.step(0.01, TrySum{EP: 1000, Zone: "a", Tries: 40, Delay: 0.9, Over: 1})
+	}
+	if w.c.trust[0] >= 1 || w.c.trust[1] < 1 {
+		t.Fatalf("trust %v", w.c.trust)
+	}
+}
+
+// A method that may go only to its own zone has a table of its own with servers of that zone.
+func TestOwnZoneMethods(t *testing.T) {
+	w := newWorld(t, map[string]any{"method.1.own_zone": true})
+	w.step(0, full(8, 0))
+	w.join(2)
+	for id := range w.tables[1] {
+		if w.open[id].Zone != "a" {
+			t.Fatalf("server %d of another zone in the zone's table", id)
+		}
+	}
+	if len(w.tables[1]) < arcLeast {
+		t.Fatalf("own-zone table %v", w.tables[1])
+	}
+}
+
+// Where slices are set the module orders nothing for tables.
+func TestSlicesStayAsTheStoreHasThem(t *testing.T) {
+	w := newWorld(t, map[string]any{"slices": 8.0})
+	w.step(0, full(4, 0))
+	out := w.step(1, Joined{0, "a", 1, true}, Charged{0, true}, Held{0, 1000, 1})
+	if count[BindTable](out)+count[SetLine](out) > 0 {
+		t.Fatalf("orders %v", out)
+	}
+}
+
+// random plays a seeded day of joins, losses, lists, sums and answers, late, stale or missing.
+func random(w *world, seed int64, steps int) (trace []Order) {
+	r := rand.New(rand.NewSource(seed))
+	states := []State{Open, Open, Open, Draining, Gone}
+	w.step(0, full(10, 0))
+	for range steps {
+		var all []Event
+		p := Proxy(r.Intn(6))
+		id := EP(1000 + 77*r.Intn(12))
+		zone := Zone("ab"[id%2 : id%2+1])
+		switch r.Intn(14) {
+		case 0:
+			if !w.joined[p] {
+				all = append(all, Joined{p, Zone("ab"[p%2 : p%2+1]), 20 * r.Float64(), r.Intn(2) == 0})
+			}
+		case 1:
+			if w.joined[p] && r.Intn(4) == 0 {
+				all = append(all, Left{p})
+			}
+		case 2:
+			start := w.open[id].Start
+			if r.Intn(3) == 0 {
+				start = w.now
+			}
+			all = append(all, Listed{Kind: ListDelta,
+				Entries: []Entry{{EP: id, State: states[r.Intn(5)], Start: start, Zone: zone, Weight: 1 + r.Float64()}}})
+		case 3:
+			if r.Intn(12) == 0 {
+				all = append(all, full(r.Intn(12), 0))
+			}
+		case 4:
+			all = append(all, Listed{Kind: ListFailed})
+		case 5, 6:
+			if w.c.index[id] > 0 {
+				n := 1 + r.Intn(30)
+				all = append(all, TrySum{EP: id, Zone: zone, Tries: n, Bad: r.Intn(n + 1), Delay: r.Float64() * 2, Over: 1})
+			}
+		case 7:
+			if w.joined[p] {
+				all = append(all, UsageSum{Proxy: p, Method: Method(r.Intn(3)), RPCs: r.Intn(60), Over: 1})
+			}
+		case 8:
+			all = append(all, Answered{p, Mark(r.Intn(200)), 0.1})
+		case 9:
+			if w.c.index[id] > 0 {
+				all = append(all, Probed{EP: id, OK: r.Intn(2) == 0})
+			}
+		default:
+			if q := w.unacked[p]; len(q) > 0 {
+				all = append(all, Answered{p, q[0], 0.3})
+			}
+		}
+		trace = append(trace, w.step(0.25*r.Float64(), all...)...)
+	}
+	return trace
+}
+
+func FuzzRules(f *testing.F) {
+	for seed := range int64(12) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed int64) {
+		more := map[string]any{"level_kind": []string{"share", "rate", "none"}[uint64(seed)%3]}
+		a := random(newWorld(t, more), seed, 1500)
+		if b := random(newWorld(t, more), seed, 1500); !reflect.DeepEqual(a, b) {
+			t.Fatal("the same events gave other orders")
+		}
+	})
+}
+
+func FuzzInterleaving(f *testing.F) {
+	f.Add(int64(1))
+	f.Add(int64(2))
+	f.Fuzz(func(t *testing.T, seed int64) {
+		alone := fmt.Sprint(random(newWorld(t, nil), seed, 300))
+		random(newWorld(t, nil), seed+100, 100) // another instance in the same process
+		if fmt.Sprint(random(newWorld(t, nil), seed, 300)) != alone {
+			t.Fatal("another instance changed the orders")
+		}
+	})
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -393,3 +393,6 @@
 
 // rich is how much of its part of the usage the arcs bring a server.
 func (c *Planner) rich(i int) float64 { return c.carry[i] / c.weight[i] / c.ease[i] / c.trust[i] }
+
+// fit tells whether health lets a zone's arcs take a server.
+func (c *Planner) fit(i, zone int) bool { return c.bench[i][zone] <= c.now && !c.away(i) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -139,12 +140,17 @@
 		TMs      *float64
 		Happened *[]map[string]json.RawMessage `json:"happened"`
 	}
-	if err := json.Unmarshal(line, &in); err != nil || in.TMs == nil || in.Happened == nil {
-		field := "happened"
-		if in.TMs == nil {
-			field = "TMs"
-		}
-		return Batch{}, fmt.Errorf("not a batch: field %s is missing or mistyped", field)
+	err := json.Unmarshal(line, &in)
+	var typed *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &typed):
+		return Batch{}, fmt.Errorf("not a batch: field %s is mistyped", typed.Field)
+	case err != nil:
+		return Batch{}, fmt.Errorf("not a batch: %w", err)
+	case in.TMs == nil:
+		return Batch{}, errors.New("not a batch: field TMs is missing")
+	case in.Happened == nil:
+		return Batch{}, errors.New("not a batch: field happened is missing")
 	}
 	b := Batch{Now: *in.TMs / 1000}
 	for i, e := range *in.Happened {
