Cold servers wait for calm; no second tries in a jam; health benches only what the rest can carry

Now, where proxies strike, a cold server stays out until it stands twice its usual work, in a jam or while nothing has told of calm. Also guards against any flight of proxies to the one server that still accepts; costs part of a returning server's capacity in overload.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,13 +28,11 @@
 	healthTries  = 4.0  // tries that a judgement needs
 	healthBad    = 0.4  // share of bad tries, beyond the fleet's, that benches a server
 	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
-	benchMost    = 20.0
+	benchStrain  = 1.3  // of the best rate of answers seen, what health may ask of those left
 	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
-	silentTries  = 5.0  // answers that a server owes before it is asked
 	probeEvery   = 1.0
 	leanDelay    = 0.4 // of the shortest soft deadline, what a server takes before arcs lean away from it
 	leanLeast    = 0.4
-	leanEvery    = 3.0
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
 	jamDelay     = 0.6  // or a mean time of this much of the shortest soft deadline
 	limitLeast   = 0.8  // of the best rate of answers seen
@@ -128,7 +126,9 @@
 	case Entry:
 		b.listed(n)
 	case TrySum:
-		c.met(i, n, healthSpan)
+		if c.met(i, n, healthSpan); n.Tries > n.Bad && c.away(i) == false {
+			c.deaf[i] = 0 // a deep probe waits in the queue of a jam; RPCs that are answered tell better
+		}
 		b.judge()
 	case Probed:
 		b.probed(n)
@@ -149,7 +149,7 @@
 		b.lean()
 		// Silence proves nothing, but where others are heard it is worth a question.
 		quiet := c.heard - max(c.good[i], c.dealt[i])
-		silent := quiet > 1.5*c.boot.Num("report_period", 1) && quiet*c.carry[i] > silentTries && !c.gate.jammed
+		silent := quiet > 1.5*c.boot.Num("report_period", 1) && quiet*c.carry[i] > healthTries && !c.gate.jammed
 		ask := c.boot.Flag("probes") && c.state[i] == Open && c.now >= c.probe[i]
 		if ask && (silent || c.deaf[i] > 0) {
 			c.probe[i] = c.now + probeEvery
@@ -205,7 +205,7 @@
 		if c.bench[i][z] > c.now || !pooled && !alone || !spare {
 			continue
 		}
-		c.bench[i][z] = c.now + min(benchLeast*math.Exp2(float64(c.fouls[i][z])), benchMost)
+		c.bench[i][z] = c.now + min(benchLeast*math.Exp2(float64(c.fouls[i][z])), 4*benchLeast)
 		c.fouls[i][z]++
 		c.post(c.ring, redo{})
 	}
@@ -232,6 +232,15 @@
 	}
 }
 
+// fit tells whether a zone's arcs may take a server. In a jam proxies that strike turn from all that push
+// back, so that a cold server beside them gets all, whatever its weight: it stays out until it stands
+// twice its usual work, also after a start of ours, when nothing has yet told of a jam.
+func (c *Planner) fit(i, zone int) bool {
+	frail := c.ease[i] < 1 && c.ease[i]*c.boot.Num("fall_multiple", 3) < 2
+	frail = frail && c.boot.Num("strikes", 0) > 0 && !c.gate.calm
+	return c.bench[i][zone] <= c.now && !c.away(i) && !frail
+}
+
 // away tells whether a server has been deaf to two probes, and most others have not.
 func (c *Planner) away(i int) bool {
 	deaf := c.open(func(k int) float64 { return min(1, float64(c.deaf[k]/2)) })
@@ -243,11 +252,11 @@
 // comes back in small steps.
 func (b *backend) lean() {
 	c, i := b.c, b.i
-	if c.now < c.leant[i]+leanEvery {
+	if c.now < c.leant[i]+healthSpan {
 		return
 	}
 	c.leant[i] = c.now
-	good, mean := c.answers(i, c.now-leanEvery)
+	good, mean := c.answers(i, c.now-healthSpan)
 	switch slow := mean / c.gate.soft; {
 	case good < healthTries || c.gate.jammed:
 	case slow > leanDelay:
@@ -274,7 +283,9 @@
 			out += c.weight[i]
 		}
 	}
-	return bad / all, out <= benchPart*open
+	// What is left must not have to carry much more than servers have been seen to: a jam is no time to
+	// bench.
+	return bad / all, out <= benchPart*open && sum(c.gate.came) <= benchStrain*c.gate.best*(open-out)
 }
 
 func (r *ring) take(n note) {
@@ -321,12 +332,7 @@
 	r.dirty, r.sized = false, c.now
 	order := c.hashed(func(i int) bool { return c.state[i] == Open })
 	asks, mean := 1e-9, c.open(func(i int) float64 { return c.weight[i] })/float64(len(order))
-	room := c.open(func(i int) float64 {
-		if c.away(i) {
-			return 0
-		}
-		return c.weight[i] * c.ease[i]
-	})
+	room := c.room()
 	var walks []*walk
 	joined := 0.0
 	for _, p := range c.proxies {
@@ -471,7 +477,7 @@
 	}
 	// Kept as it was while it differs little: each change is a line.
 	want, was := p.share[m]*max(p.usage[m], 0.1), p.sheets[0].level[m]
-	if was > want/1.15 && was < want*1.15 {
+	if math.Abs(was-want) < 0.15*want {
 		return was
 	}
 	return want
@@ -546,9 +552,7 @@
 		}
 	case clock:
 		// What broke off with a stream is never answered.
-		for len(h.ledger) > 0 && h.c.now > h.ledger[0].at+10 {
-			h.ledger = h.ledger[1:]
-		}
+		h.ledger = slices.DeleteFunc(h.ledger, func(l load) bool { return h.c.now > l.at+10 })
 	}
 }
 
@@ -556,9 +560,7 @@
 // the limit stays free for what can't be put off.
 func (h *channel) few(p *proxy) bool {
 	most, span := h.c.boot.Num("messages", 0), h.c.boot.Num("messages_span", 10)
-	for len(p.sent) > 0 && p.sent[0] < h.c.now-span-1 {
-		p.sent = p.sent[1:]
-	}
+	p.sent = slices.DeleteFunc(p.sent, func(at Seconds) bool { return at < h.c.now-span-1 })
 	return most == 0 || float64(len(p.sent)+1) <= ordinaryPart*most
 }
 
@@ -571,12 +573,9 @@
 // seal closes the step: one mark for all its messages.
 func (c *Planner) seal() {
 	h := c.channel
-	lines := 0
-	next := (h.mark + 1) % MarkSpan
-	ahead := h.lines()
+	lines, ahead, next := 0, h.lines(), (h.mark+1)%MarkSpan
 	for _, p := range c.proxies {
-		if p.due == 0 || !p.joined {
-			p.due = 0
+		if p.due == 0 {
 			continue
 		}
 		lines += p.due + int(c.boot.Num("message_lines", 10)) + 1
@@ -618,7 +617,7 @@
 	if !g.jammed {
 		return g.free
 	}
-	return slices.Repeat([]Tries{TryProven}, len(g.free))
+	return slices.Repeat([]Tries{TryOnce}, len(g.free))
 }
 
 func (g *gate) take(n note) {
@@ -661,7 +660,7 @@
 			}
 		}
 	}
-	room := 1e-9 + c.open(func(i int) float64 { return c.weight[i] * c.ease[i] })
+	room := c.room()
 	g.best = max(g.best, good/room)
 	was := g.jammed
 	switch {
@@ -680,6 +679,8 @@
 		g.jammed = g.jammed && c.now < g.since+gateSpan
 		g.limit *= 1.05 + 0.1*math.Floor(1-jam/all)
 	}
+	g.first = cmp.Or(g.first, c.now)
+	g.calm = !g.jammed && c.now > g.first+gateSpan
 	share := g.shares()
 	if was != g.jammed || !slices.Equal(share, g.share) {
 		g.share = share
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -392,7 +392,8 @@
 	w.step(0, full(8, 0))
 	w.join(4)
 	w.settle()
-	for range 3 {
+	w.feed(8, 0.1, nil, nil) // shows what the servers can carry
+	for range 4 {
 		w.feed(8, 0.1, map[EP]float64{1000: 0.7}, nil)
 		w.settle()
 	}
@@ -474,6 +475,23 @@
 	}
 }
 
+// A cold server stays out of the arcs while a jam lasts, or while nothing tells that there is none: the proxies
+// would turn to it from all that push back.
+func TestColdServerWaitsForCalm(t *testing.T) {
+	w := newWorld(t, map[string]any{"strikes": 3.0})
+	w.step(0, full(8, 0))
+	w.join(6)
+	again := full(8, 0).Entries[0]
+	again.Start = w.now
+	w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{again}})
+	if w.step(0.5); w.lines(1000) > 0 {
+		t.Fatal("a cold server got lines before anything told of calm")
+	}
+	if w.settle(); w.lines(1000) == 0 {
+		t.Fatal("it got none when warm")
+	}
+}
+
 // A method that may go only to its own zone has a table of its own with servers of that zone.
 func TestOwnZoneMethods(t *testing.T) {
 	w := newWorld(t, map[string]any{"method.1.own_zone": true})
--- a/choice/state.go
+++ b/choice/state.go
@@ -291,6 +291,8 @@
 	limit  float64   // RPCs a second that are let in
 	best   float64   // answers a second for each weight, the best so far
 	jammed bool
+	calm   bool    // sums have told for a while that there is no jam
+	first  Seconds // sums
 	since  Seconds
 	cut    Seconds
 	next   Seconds
@@ -394,5 +396,12 @@
 // rich is how much of its part of the usage the arcs bring a server.
 func (c *Planner) rich(i int) float64 { return c.carry[i] / c.weight[i] / c.ease[i] / c.trust[i] }
 
-// fit tells whether health lets a zone's arcs take a server.
-func (c *Planner) fit(i, zone int) bool { return c.bench[i][zone] <= c.now && !c.away(i) }
+// room is the weight of the open servers that hear, as far as they are warm.
+func (c *Planner) room() float64 {
+	return 1e-9 + c.open(func(i int) float64 {
+		if c.away(i) {
+			return 0
+		}
+		return c.weight[i] * c.ease[i]
+	})
+}
