--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 // Package choice is the decision module: a central planner that gives plain proxies their tables.
 //
 // Call New once with what is read at start, then Step with each batch of events; Step returns the orders, to
-// be carried out in that order. The interface is in types.go, the parts' state in state.go. An instance
+// be carried out in that order. The interface is in types.go, New and the state in state.go. An instance
 // shares nothing and knows no wire: same events, same orders. Each backend and each proxy is an actor with an
 // inbox; so are the roll (the list), the ring (the arcs), the gate (levels, tries) and the channel. Per proxy
 // one push is in flight, clocked by the answer to its mark; what changes meanwhile goes as one delta.
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
 )
@@ -18,7 +17,8 @@
 	tick         = 0.25 // how often time-driven parts look again
 	arcLeast     = 3    // servers in an arc
 	coverage     = 2    // arcs over each server
-	fair         = 1.35 // of its part of the usage, what a server takes before arcs pass it over
+	fairLeast    = 1.1  // of its part of the usage, what a server takes before arcs pass, if answers are slow
+	fairMost     = 1.5  // and when they are quick, so that arcs keep to their zone
 	arcMean      = 6.0  // servers in an arc, on average
 	usageSpan    = 30.0 // seconds over which usage is averaged
 	resizeBy     = 2    // an arc's size moves by no less
@@ -32,6 +32,7 @@
 	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
 	probeEvery   = 1.0
 	leanDelay    = 0.4 // of the shortest soft deadline, what a server takes before arcs lean away from it
+	leanBeyond   = 1.2 // and of the mean
 	leanLeast    = 0.4
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
 	jamDelay     = 0.6  // or a mean time of this much of the shortest soft deadline
@@ -41,14 +42,6 @@
 	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
 )
 
-// New makes an instance.
-func New(b Bootstrap) *Planner {
-	c := &Planner{boot: b, now: b.Now, index: map[EP]int{}, zones: map[Zone]int{}}
-	c.roll, c.ring = &roll{c: c}, &ring{c: c}
-	c.gate, c.channel = newGate(c), &channel{c: c, usual: b.Num("push_time", 0.2)}
-	return c
-}
-
 // Step takes the events of one moment and returns what to do.
 func (c *Planner) Step(now Seconds, events []Event) []Order {
 	c.now, c.out = now, nil
@@ -106,10 +99,8 @@
 				}
 			}
 		}
-		r.look()
-	case clock:
-		r.look()
 	}
+	r.look()
 }
 
 func (r *roll) look() {
@@ -226,6 +217,7 @@
 		c.deaf[i] = 0
 	case !n.Busy:
 		c.deaf[i]++
+		c.probe[i] = c.now
 	}
 	if was != c.away(i) {
 		c.post(c.ring, redo{})
@@ -260,7 +252,9 @@
 	switch slow := mean / c.gate.soft; {
 	case good < healthTries || c.gate.jammed:
 	case slow > leanDelay:
-		c.trust[i] = max(leanLeast, c.trust[i]*0.85)
+		if slow > leanBeyond*c.gate.slow {
+			c.trust[i] = max(leanLeast, c.trust[i]*0.85)
+		}
 	default:
 		c.trust[i] = min(1, c.trust[i]+0.05)
 	}
@@ -316,7 +310,7 @@
 		if w.fill < place/2 && w.least < 0.5 {
 			return
 		}
-		if !w.took[i] && c.fit(i, w.p.zone) && c.carry[i]+w.per*place <= bound*place*c.trust[i] {
+		if !w.took[i] && c.fit(i, w.p.zone) && c.carry[i]+w.per*place <= bound*c.part[i] {
 			w.took[i] = true
 			c.carry[i] += w.per * place
 			c.cover[i]++
@@ -332,7 +326,17 @@
 	r.dirty, r.sized = false, c.now
 	order := c.hashed(func(i int) bool { return c.state[i] == Open })
 	asks, mean := 1e-9, c.open(func(i int) float64 { return c.weight[i] })/float64(len(order))
-	room := c.room()
+	// A cold server's part goes by the mean trust: it has had no time to lose any.
+	trust, room := c.open(func(i int) float64 { return c.trust[i] })/float64(len(order)), 1e-9
+	c.part = make([]float64, len(c.id))
+	for _, i := range order {
+		if c.part[i] = c.weight[i] * c.ease[i] * c.trust[i]; c.ease[i] < 1 {
+			c.part[i] = c.weight[i] * c.ease[i] * min(trust, c.trust[i])
+		}
+		if !c.away(i) {
+			room += c.part[i]
+		}
+	}
 	var walks []*walk
 	joined := 0.0
 	for _, p := range c.proxies {
@@ -350,7 +354,7 @@
 	starts := make([]int, len(c.zones))
 	// The proxies of other coordinators are taken to bring the servers their even part, as nothing tells
 	// more.
-	bound := asks * (1 + (fair-1)*max(1, c.boot.Num("proxies", 1)/max(joined, 1))) / room
+	bound := asks * (1 + (c.gate.fair-1)*max(1, c.boot.Num("proxies", 1)/max(joined, 1))) / room
 	for _, w := range walks {
 		p := w.p
 		n := float64(p.resize(lines/asks, len(order)))
@@ -440,15 +444,13 @@
 		return
 	}
 	full := !p.bound || silent
-	ready := false
 	for _, s := range p.sheets {
-		p.write(s)
-		if ready = ready || len(s.told) > 0; full && len(s.told) > 0 {
+		if p.write(s); full && len(s.told) > 0 {
+			p.bound = true
 			c.out = append(c.out, BindTable{p.id, s.table, s.methods})
 			p.due += 1 + len(s.told) + len(s.level)
 		}
 	}
-	p.bound = p.bound || ready
 	p.clocked = p.bound && p.due > 0 && (!p.flying || silent)
 }
 
@@ -593,23 +595,16 @@
 	}
 }
 
-func newGate(c *Planner) *gate {
-	g := &gate{c: c, limit: math.Inf(1), soft: math.Inf(1)}
-	for m := range int(c.boot.Num("method.n", 1)) {
-		at := fmt.Sprintf("method.%d.", m)
-		// Idempotent RPCs too: a second send after a mere time-out feeds the jam that it came from.
-		tries := TryProven
-		// A second send is at most one try's wait after the first; all servers must then still drop the
-		// repeat.
-		soon := c.boot.Num("try_wait", 1)*c.boot.Num(at+"soft_deadline", 1) < 0.9*c.boot.Num(at+"window", 0)
-		if c.boot.Word(at+"effect") == "tokened" && c.boot.Word(at+"group") == "all" && soon {
-			tries = TryAgain
-		}
-		g.share, g.free = append(g.share, 1), append(g.free, tries)
-		g.worth, g.came = append(g.worth, c.boot.Num(at+"criticality", 1)), append(g.came, 0)
-		g.soft = min(g.soft, c.boot.Num(at+"soft_deadline", 1))
+// free is when a method's RPCs are tried again while there is no jam. After proof only, idempotent ones
+// too: a second send after a mere time-out feeds the jam that it came from.
+func (c *Planner) free(at string) Tries {
+	// A second send is at most one try's wait after the first; all servers must then still drop the
+	// repeat.
+	soon := c.boot.Num("try_wait", 1)*c.boot.Num(at+"soft_deadline", 1) < 0.9*c.boot.Num(at+"window", 0)
+	if c.boot.Word(at+"effect") == "tokened" && c.boot.Word(at+"group") == "all" && soon {
+		return TryAgain
 	}
-	return g
+	return TryProven
 }
 
 // now gives the tries for the present: in a jam, second sends feed the jam.
@@ -642,11 +637,12 @@
 // fares best with it, as a cut between zones is no jam.
 func (g *gate) look() {
 	c := g.c
-	jam, all, good := 0.0, 0.0, 0.0
+	jam, all, good, slow := 0.0, 0.0, 0.0, 0.0
 	for i := range c.id {
 		best, met := math.Inf(1), false
 		for z := range c.tries[i] {
 			fade := math.Exp(-(c.now - c.last[i][z]) / healthSpan)
+			slow += (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan * c.delay[i][z] / g.soft
 			good += (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan
 			if t := c.tries[i][z]; t >= healthTries/2 && fade > 0.2 {
 				met = true
@@ -661,6 +657,9 @@
 		}
 	}
 	room := c.room()
+	g.slow = slow / max(good, 1e-9)
+	ease := min(1, max(0, 2-4*g.slow))
+	g.fair += 0.2 * (fairLeast + (fairMost-fairLeast)*ease - g.fair)
 	g.best = max(g.best, good/room)
 	was := g.jammed
 	switch {
--- a/choice/state.go
+++ b/choice/state.go
@@ -290,6 +290,8 @@
 	soft   Seconds   // the shortest soft deadline
 	limit  float64   // RPCs a second that are let in
 	best   float64   // answers a second for each weight, the best so far
+	slow   float64   // mean time of answers, in soft deadlines
+	fair   float64   // of its part, what arcs may bring a server
 	jammed bool
 	calm   bool    // sums have told for a while that there is no jam
 	first  Seconds // sums
@@ -394,7 +396,7 @@
 }
 
 // rich is how much of its part of the usage the arcs bring a server.
-func (c *Planner) rich(i int) float64 { return c.carry[i] / c.weight[i] / c.ease[i] / c.trust[i] }
+func (c *Planner) rich(i int) float64 { return c.carry[i] / c.part[i] }
 
 // room is the weight of the open servers that hear, as far as they are warm.
 func (c *Planner) room() float64 {
@@ -405,3 +407,22 @@
 		return c.weight[i] * c.ease[i]
 	})
 }
+
+// New makes an instance.
+func New(b Bootstrap) *Planner {
+	c := &Planner{boot: b, now: b.Now, index: map[EP]int{}, zones: map[Zone]int{}}
+	c.roll, c.ring = &roll{c: c}, &ring{c: c}
+	c.gate, c.channel = newGate(c), &channel{c: c, usual: b.Num("push_time", 0.2)}
+	return c
+}
+
+func newGate(c *Planner) *gate {
+	g := &gate{c: c, fair: fairLeast, limit: math.Inf(1), soft: math.Inf(1)}
+	for m := range int(c.boot.Num("method.n", 1)) {
+		at := fmt.Sprintf("method.%d.", m)
+		g.share, g.free = append(g.share, 1), append(g.free, c.free(at))
+		g.worth, g.came = append(g.worth, c.boot.Num(at+"criticality", 1)), append(g.came, 0)
+		g.soft = min(g.soft, c.boot.Num(at+"soft_deadline", 1))
+	}
+	return g
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -278,6 +278,7 @@
 	hash              []uint32
 	ease              []float64 // share of its full weight
 	carry             []float64 // usage that the arcs dealt so far bring it
+	part              []float64 // weight, as far as the server is warm and trusted
 	good, back, dealt []Seconds // last good answer; return from deafness; when it first got a part
 	deaf              []int     // probes in a row without an answer
 	trust             []float64 // of its part of the usage, what arcs may bring it
