--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,16 +26,16 @@
 	silence      = 4.0  // usual answer times without an answer that bring a full resend
 	healthSpan   = 3.0  // seconds over which tries are averaged for health
 	healthTries  = 4.0  // tries that a judgement needs
-	healthBad    = 0.4  // share of bad tries, beyond the fleet's, that benches a server
+	healthBad    = 0.3  // share of bad tries, beyond the fleet's, that benches a server
 	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
 	benchStrain  = 1.3  // of the best rate of answers seen, what health may ask of those left
 	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
 	probeEvery   = 1.0
-	leanDelay    = 0.4 // of the shortest soft deadline, what a server takes before arcs lean away from it
+	leanDelay    = 0.3 // of the shortest soft deadline, what a server takes before arcs lean away from it
 	leanBeyond   = 1.2 // and of the mean
 	leanLeast    = 0.4
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
-	jamDelay     = 0.6  // or a mean time of this much of the shortest soft deadline
+	jamDelay     = 0.5  // or a mean time of this much of the shortest soft deadline
 	limitLeast   = 0.8  // of the best rate of answers seen
 	gateSpan     = 4.0  // seconds over which the gate looks back
 	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
@@ -250,7 +250,7 @@
 	c.leant[i] = c.now
 	good, mean := c.answers(i, c.now-healthSpan)
 	switch slow := mean / c.gate.soft; {
-	case good < healthTries || c.gate.jammed:
+	case good < healthTries:
 	case slow > leanDelay:
 		if slow > leanBeyond*c.gate.slow {
 			c.trust[i] = max(leanLeast, c.trust[i]*0.85)
@@ -672,8 +672,6 @@
 		if c.now >= g.cut+gateSpan/2 {
 			g.cut, g.limit = c.now, max(min(g.limit, good*0.85), limitLeast*g.best*room)
 		}
-	case jam > jamPart/2*all:
-		g.since = c.now
 	default:
 		g.jammed = g.jammed && c.now < g.since+gateSpan
 		g.limit *= 1.05 + 0.1*math.Floor(1-jam/all)
