--- a/choice/choice.go
+++ b/choice/choice.go
@@ -74,8 +74,7 @@
 
 func (r *roll) take(n note) {
 	c := r.c
-	switch n := n.(type) {
-	case Listed:
+	if n, ok := n.(Listed); ok {
 		if n.Kind == ListFailed {
 			// Against a list service that is jammed by everybody asking again at once: later each time,
 			// by chance, but well inside the time after which we would count as told.
@@ -225,11 +224,12 @@
 }
 
 // fit tells whether a zone's arcs may take a server. In a jam proxies that strike turn from all that push
-// back, so that a cold server beside them gets all, whatever its weight: it stays out until it stands
-// twice its usual work, also after a start of ours, when nothing has yet told of a jam.
+// back, so that a cold server beside them gets what they can't take, whatever its weight: it stays out
+// until it stands twice its usual work, or that is little; also after a start of ours, when nothing has
+// yet told of a jam.
 func (c *Planner) fit(i, zone int) bool {
-	frail := c.ease[i] < 1 && c.ease[i]*c.boot.Num("fall_multiple", 3) < 2
-	frail = frail && c.boot.Num("strikes", 0) > 0 && !c.gate.calm
+	falls, flight := c.boot.Num("fall_multiple", 3), c.boot.Num("strikes", 0) > 0 && !c.gate.calm
+	frail := flight && c.ease[i] < 1 && c.ease[i]*falls < 2 && c.gate.spill > falls/2
 	return c.bench[i][zone] <= c.now && !c.away(i) && !frail
 }
 
@@ -678,6 +678,8 @@
 	}
 	g.first = cmp.Or(g.first, c.now)
 	g.calm = !g.jammed && c.now > g.first+gateSpan
+	cold := 1e-9 + c.open(func(i int) float64 { return c.weight[i] * c.ease[i] * math.Ceil(1-c.ease[i]) })
+	g.spill = (sum(g.came) - g.best*(room-cold)) / max(g.best*cold, 1e-9)
 	share := g.shares()
 	if was != g.jammed || !slices.Equal(share, g.share) {
 		g.share = share
