A cold server waits out a jam until it can take what flees to it

Now the cold servers' part of all that comes (twice that where proxies pick the less busy) must stay under 0.8 of what topples them.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,13 +30,14 @@
 	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
 	benchStrain  = 1.3  // of the best rate of answers seen, what health may ask of those left
 	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
-	probeEvery   = 1.0
-	leanDelay    = 0.3 // of the shortest soft deadline, what a server takes before arcs lean away from it
-	leanBeyond   = 1.2 // and of the mean
-	leanLeast    = 0.4
+	probeEvery   = 1.0  // seconds
+	leanDelay    = 0.3  // of the shortest soft deadline, what a server takes before arcs lean away from it
+	leanBeyond   = 1.2  // and of the mean
+	leanLeast    = 0.4  // of its part, what leaning leaves a server
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
 	jamDelay     = 0.5  // or a mean time of this much of the shortest soft deadline
 	limitLeast   = 0.8  // of the best rate of answers seen
+	coldStrain   = 0.8  // of what topples a cold server, what may flee to it in a jam
 	gateSpan     = 4.0  // seconds over which the gate looks back
 	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
 	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
@@ -223,14 +224,12 @@
 	}
 }
 
-// fit tells whether a zone's arcs may take a server. In a jam proxies that strike turn from all that push
-// back, so that a cold server beside them gets what they can't take, whatever its weight: it stays out
-// until it stands twice its usual work, or that is little; also after a start of ours, when nothing has
-// yet told of a jam.
+// fit tells whether a zone's arcs may take a server. In a jam proxies that strike, or pick the less busy,
+// flee from all that push back to a cold server beside them, whatever its weight: it stays out until it
+// can take that.
 func (c *Planner) fit(i, zone int) bool {
-	falls, flight := c.boot.Num("fall_multiple", 3), c.boot.Num("strikes", 0) > 0 && !c.gate.calm
-	frail := flight && c.ease[i] < 1 && c.ease[i]*falls < 2 && c.gate.spill > falls/2
-	return c.bench[i][zone] <= c.now && !c.away(i) && !frail
+	frail := c.ease[i] < 1 && c.gate.flight > coldStrain*c.boot.Num("fall_multiple", 3)
+	return c.bench[i][zone] <= c.now && !c.away(i) && !(frail && c.boot.Num("strikes", 0) > 0)
 }
 
 // away tells whether a server has been deaf to two probes, and most others have not.
@@ -325,7 +324,7 @@
 	c := r.c
 	r.dirty, r.sized = false, c.now
 	order := c.hashed(func(i int) bool { return c.state[i] == Open })
-	asks, mean := 1e-9, c.open(func(i int) float64 { return c.weight[i] })/float64(len(order))
+	asks, mean := 1e-9, c.open(c.full)/float64(len(order))
 	// A cold server's part goes by the mean trust: it has had no time to lose any.
 	trust, room := c.open(func(i int) float64 { return c.trust[i] })/float64(len(order)), 1e-9
 	c.part = make([]float64, len(c.id))
@@ -639,29 +638,24 @@
 	c := g.c
 	jam, all, good, slow := 0.0, 0.0, 0.0, 0.0
 	for i := range c.id {
-		best, met := math.Inf(1), false
+		best := math.Inf(1)
 		for z := range c.tries[i] {
 			fade := math.Exp(-(c.now - c.last[i][z]) / healthSpan)
 			slow += (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan * c.delay[i][z] / g.soft
 			good += (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan
 			if t := c.tries[i][z]; t >= healthTries/2 && fade > 0.2 {
-				met = true
 				best = min(best, max(c.bad[i][z]/t/jamBad, c.delay[i][z]/g.soft/jamDelay))
 			}
 		}
-		if met && c.state[i] == Open {
+		if !math.IsInf(best, 1) && c.state[i] == Open {
 			all++
-			if best > 1 {
-				jam++
-			}
+			jam += math.Ceil(min(1, max(0, best-1)))
 		}
 	}
 	room := c.room()
 	g.slow = slow / max(good, 1e-9)
-	ease := min(1, max(0, 2-4*g.slow))
-	g.fair += 0.2 * (fairLeast + (fairMost-fairLeast)*ease - g.fair)
+	g.fair += 0.2 * (fairLeast + (fairMost-fairLeast)*min(1, max(0, 2-4*g.slow)) - g.fair)
 	g.best = max(g.best, good/room)
-	was := g.jammed
 	switch {
 	case all == 0:
 		return
@@ -677,15 +671,20 @@
 		g.limit *= 1.05 + 0.1*math.Floor(1-jam/all)
 	}
 	g.first = cmp.Or(g.first, c.now)
-	g.calm = !g.jammed && c.now > g.first+gateSpan
-	cold := 1e-9 + c.open(func(i int) float64 { return c.weight[i] * c.ease[i] * math.Ceil(1-c.ease[i]) })
-	g.spill = (sum(g.came) - g.best*(room-cold)) / max(g.best*cold, 1e-9)
-	share := g.shares()
-	if was != g.jammed || !slices.Equal(share, g.share) {
-		g.share = share
-		for _, p := range c.proxies {
-			c.post(p, levels{g.share, g.now()})
-		}
+	// The cold servers' part of all that comes, in what they can take by the best seen; after a start of
+	// ours nothing has yet told that there is no jam.
+	cold := c.open(func(i int) float64 { return c.weight[i] * math.Ceil(1-c.ease[i]) }) / c.open(c.full)
+	able := g.best * c.open(func(i int) float64 { return c.weight[i] * c.ease[i] * math.Ceil(1-c.ease[i]) })
+	herd := 1.0
+	if c.boot.Word("pick") == "pair" {
+		herd = 2 // who has nothing out is picked whenever drawn
+	}
+	if g.flight = sum(g.came) * min(1, herd*cold) / max(able, 1e-9); !g.jammed && c.now > g.first+gateSpan {
+		g.flight = 0
+	}
+	g.share = g.shares()
+	for _, p := range c.proxies {
+		c.post(p, levels{g.share, g.now()})
 	}
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -293,8 +293,7 @@
 	slow   float64   // mean time of answers, in soft deadlines
 	fair   float64   // of its part, what arcs may bring a server
 	jammed bool
-	spill  float64 // what warm servers can't take, in what the cold ones can
-	calm   bool    // sums have told for a while that there is no jam
+	flight float64 // what may flee to cold servers, in what they can take
 	first  Seconds // sums
 	since  Seconds
 	cut    Seconds
@@ -418,7 +417,7 @@
 }
 
 func newGate(c *Planner) *gate {
-	g := &gate{c: c, fair: fairLeast, spill: math.Inf(1), limit: math.Inf(1), soft: math.Inf(1)}
+	g := &gate{c: c, fair: fairLeast, flight: math.Inf(1), limit: math.Inf(1), soft: math.Inf(1)}
 	for m := range int(c.boot.Num("method.n", 1)) {
 		at := fmt.Sprintf("method.%d.", m)
 		g.share, g.free = append(g.share, 1), append(g.free, c.free(at))
@@ -427,3 +426,5 @@
 	}
 	return g
 }
+
+func (c *Planner) full(i int) float64 { return c.weight[i] }
