--- a/choice/choice.go
+++ b/choice/choice.go
@@ -228,14 +228,25 @@
 // flee from all that push back to a cold server beside them, whatever its weight: it stays out until it
 // can take that.
 func (c *Planner) fit(i, zone int) bool {
-	frail := c.ease[i] < 1 && c.gate.flight > coldStrain*c.boot.Num("fall_multiple", 3)
-	return c.bench[i][zone] <= c.now && !c.away(i) && !(frail && c.boot.Num("strikes", 0) > 0)
+	g := c.gate
+	if c.ease[i] < 1 && !g.calm && c.boot.Num("strikes", 0) > 0 {
+		isCold := func(i int) float64 { return c.weight[i] * math.Ceil(1-c.ease[i]) }
+		flee := sum(g.came) * c.open(isCold) / c.open(c.full)
+		able := g.best * c.open(func(i int) float64 { return isCold(i) * c.ease[i] })
+		if c.boot.Word("pick") == "pair" {
+			flee *= 2 // who has nothing out is picked whenever drawn
+		}
+		told := g.first > 0 && c.now > g.first+gateSpan // a start of ours knows nothing of a jam yet
+		if !told || min(flee, sum(g.came)) > coldStrain*c.boot.Num("fall_multiple", 3)*able {
+			return false
+		}
+	}
+	return c.bench[i][zone] <= c.now && !c.away(i)
 }
 
 // away tells whether a server has been deaf to two probes, and most others have not.
 func (c *Planner) away(i int) bool {
-	deaf := c.open(func(k int) float64 { return min(1, float64(c.deaf[k]/2)) })
-	return c.deaf[i] >= 2 && 2*deaf < c.open(func(int) float64 { return 1 })
+	return c.deaf[i] >= 2 && c.open(func(k int) float64 { return 1 - 2*min(1, float64(c.deaf[k]/2)) }) > 0
 }
 
 // lean lowers the part of the usage that arcs bring a server whose answers take too long while most do
@@ -420,10 +431,9 @@
 		}
 	case UsageSum:
 		// A proxy with nothing to tell sends no sum, so the average fades with the time since the last.
-		if m := int(n.Method); m < len(p.usage) {
-			p.usage[m] = p.usage[m]*math.Exp(-(c.now-p.summed[m])/usageSpan) + float64(n.RPCs)/usageSpan
-			p.summed[m] = c.now
-		}
+		m := n.Method
+		p.usage[m] = p.usage[m]*math.Exp(-(c.now-p.summed[m])/usageSpan) + float64(n.RPCs)/usageSpan
+		p.summed[m] = c.now
 	case levels:
 		p.share, p.tries = n.share, n.tries
 	case flush:
@@ -618,9 +628,7 @@
 	c := g.c
 	switch n := n.(type) {
 	case UsageSum:
-		if m := int(n.Method); m < len(g.came) {
-			g.came[m] += float64(n.RPCs) / gateSpan
-		}
+		g.came[n.Method] += float64(n.RPCs) / gateSpan
 	case clock:
 		for m := range g.came {
 			g.came[m] *= math.Exp(-tick / gateSpan)
@@ -655,7 +663,8 @@
 	room := c.room()
 	g.slow = slow / max(good, 1e-9)
 	g.fair += 0.2 * (fairLeast + (fairMost-fairLeast)*min(1, max(0, 2-4*g.slow)) - g.fair)
-	g.best = max(g.best, good/room)
+	g.rate += 0.3 * (good/room - g.rate)
+	g.best = max(g.best, g.rate)
 	switch {
 	case all == 0:
 		return
@@ -671,17 +680,9 @@
 		g.limit *= 1.05 + 0.1*math.Floor(1-jam/all)
 	}
 	g.first = cmp.Or(g.first, c.now)
-	// The cold servers' part of all that comes, in what they can take by the best seen; after a start of
-	// ours nothing has yet told that there is no jam.
-	cold := c.open(func(i int) float64 { return c.weight[i] * math.Ceil(1-c.ease[i]) }) / c.open(c.full)
-	able := g.best * c.open(func(i int) float64 { return c.weight[i] * c.ease[i] * math.Ceil(1-c.ease[i]) })
-	herd := 1.0
-	if c.boot.Word("pick") == "pair" {
-		herd = 2 // who has nothing out is picked whenever drawn
-	}
-	if g.flight = sum(g.came) * min(1, herd*cold) / max(able, 1e-9); !g.jammed && c.now > g.first+gateSpan {
-		g.flight = 0
-	}
+	// A jam may be near before sums tell: when answers slow down, or the list took much of the room.
+	g.calm = !g.jammed && jam < jamPart/3*all && g.slow < jamDelay && c.now > g.first+gateSpan &&
+		sum(g.came) < benchStrain*g.best*room
 	g.share = g.shares()
 	for _, p := range c.proxies {
 		c.post(p, levels{g.share, g.now()})
--- a/choice/state.go
+++ b/choice/state.go
@@ -289,11 +289,12 @@
 	came   []float64 // RPCs a second of late, by method
 	soft   Seconds   // the shortest soft deadline
 	limit  float64   // RPCs a second that are let in
+	rate   float64   // answers a second for each weight
 	best   float64   // answers a second for each weight, the best so far
 	slow   float64   // mean time of answers, in soft deadlines
 	fair   float64   // of its part, what arcs may bring a server
 	jammed bool
-	flight float64 // what may flee to cold servers, in what they can take
+	calm   bool    // no jam, and none near
 	first  Seconds // sums
 	since  Seconds
 	cut    Seconds
@@ -417,7 +418,7 @@
 }
 
 func newGate(c *Planner) *gate {
-	g := &gate{c: c, fair: fairLeast, flight: math.Inf(1), limit: math.Inf(1), soft: math.Inf(1)}
+	g := &gate{c: c, fair: fairLeast, limit: math.Inf(1), soft: math.Inf(1)}
 	for m := range int(c.boot.Num("method.n", 1)) {
 		at := fmt.Sprintf("method.%d.", m)
 		g.share, g.free = append(g.share, 1), append(g.free, c.free(at))
