--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
 	jamDelay     = 0.5  // or a mean time of this much of the shortest soft deadline
 	limitLeast   = 0.8  // of the best rate of answers seen
-	coldStrain   = 0.8  // of what topples a cold server, what may flee to it in a jam
+	coldStrain   = 0.6  // of what topples a cold server, what may flee to it in a jam
 	gateSpan     = 4.0  // seconds over which the gate looks back
 	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
 	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
@@ -682,7 +682,7 @@
 	g.first = cmp.Or(g.first, c.now)
 	// A jam may be near before sums tell: when answers slow down, or the list took much of the room.
 	g.calm = !g.jammed && jam < jamPart/3*all && g.slow < jamDelay && c.now > g.first+gateSpan &&
-		sum(g.came) < benchStrain*g.best*room
+		sum(g.came) < g.best*room
 	g.share = g.shares()
 	for _, p := range c.proxies {
 		c.post(p, levels{g.share, g.now()})
