--- a/choice/choice.go
+++ b/choice/choice.go
@@ -138,7 +138,7 @@
 			}
 		}
 		b.lean()
-		// Silence proves nothing, but where others are heard it is worth a question.
+		// Silence proves nothing, but where others are heard it calls for a question.
 		quiet := c.heard - max(c.good[i], c.dealt[i])
 		silent := quiet > 1.5*c.boot.Num("report_period", 1) && quiet*c.carry[i] > healthTries && !c.gate.jammed
 		ask := c.boot.Flag("probes") && c.state[i] == Open && c.now >= c.probe[i]
@@ -700,10 +700,10 @@
 	if over < -0.1*g.limit {
 		g.limit = math.Inf(1)
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(g.worth[a], g.worth[b]) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(g.criticality[a], g.criticality[b]) })
 	for k := 0; k < len(order) && over > 0 && c.boot.Word("level_kind") != "none"; {
 		end, came := k, 0.0
-		for ; end < len(order) && g.worth[order[end]] == g.worth[order[k]]; end++ {
+		for ; end < len(order) && g.criticality[order[end]] == g.criticality[order[k]]; end++ {
 			came += g.came[order[end]]
 		}
 		for ; k < end; k++ {
--- a/choice/state.go
+++ b/choice/state.go
@@ -282,23 +282,23 @@
 // gate decides what is let in and when proxies try again.
 type gate struct {
 	box
-	c      *Planner
-	share  []float64
-	free   []Tries // while there is room
-	worth  []float64
-	came   []float64 // RPCs a second of late, by method
-	soft   Seconds   // the shortest soft deadline
-	limit  float64   // RPCs a second that are let in
-	rate   float64   // answers a second for each weight
-	best   float64   // answers a second for each weight, the best so far
-	slow   float64   // mean time of answers, in soft deadlines
-	fair   float64   // of its part, what arcs may bring a server
-	jammed bool
-	calm   bool    // no jam, and none near
-	first  Seconds // sums
-	since  Seconds
-	cut    Seconds
-	next   Seconds
+	c           *Planner
+	share       []float64
+	free        []Tries   // while there is room
+	criticality []float64 // by method
+	came        []float64 // RPCs a second of late, by method
+	soft        Seconds   // the shortest soft deadline
+	limit       float64   // RPCs a second that are let in
+	rate        float64   // answers a second for each weight
+	best        float64   // answers a second for each weight, the best so far
+	slow        float64   // mean time of answers, in soft deadlines
+	fair        float64   // of its part, what arcs may bring a server
+	jammed      bool
+	calm        bool    // no jam, and none near
+	first       Seconds // sums
+	since       Seconds
+	cut         Seconds
+	next        Seconds
 }
 
 // hashed gives the servers that fit, in the order of the ring.
@@ -422,7 +422,7 @@
 	for m := range int(c.boot.Num("method.n", 1)) {
 		at := fmt.Sprintf("method.%d.", m)
 		g.share, g.free = append(g.share, 1), append(g.free, c.free(at))
-		g.worth, g.came = append(g.worth, c.boot.Num(at+"criticality", 1)), append(g.came, 0)
+		g.criticality, g.came = append(g.criticality, c.boot.Num(at+"criticality", 1)), append(g.came, 0)
 		g.soft = min(g.soft, c.boot.Num(at+"soft_deadline", 1))
 	}
 	return g
