--- a/choice/choice.go
+++ b/choice/choice.go
@@ -423,7 +423,7 @@
 		}
 		c.post(c.ring, redo{})
 	case Left:
-		p.joined, p.bound, p.flying = false, false, false
+		p.joined, p.bound, p.flying, c.gate.broke = false, false, false, c.now
 		c.post(c.ring, redo{})
 	case Answered:
 		if p.flying && n.Mark == p.mark {
@@ -680,8 +680,8 @@
 		g.limit *= 1.05 + 0.1*math.Floor(1-jam/all)
 	}
 	g.first = cmp.Or(g.first, c.now)
-	// A jam may be near before sums tell: when answers slow down, or the list took much of the room.
-	g.calm = !g.jammed && jam < jamPart/3*all && g.slow < jamDelay && c.now > g.first+gateSpan &&
+	// A jam may be near before sums tell: streams broke, answers slow down, the list took much of the room.
+	g.calm = !g.jammed && jam < jamPart/3*all && g.slow < jamDelay && c.now > max(g.first, g.broke)+gateSpan &&
 		sum(g.came) < g.best*room
 	g.share = g.shares()
 	for _, p := range c.proxies {
--- a/choice/state.go
+++ b/choice/state.go
@@ -297,6 +297,7 @@
 	calm        bool    // no jam, and none near
 	first       Seconds // sums
 	since       Seconds
+	broke       Seconds // when a stream last broke
 	cut         Seconds
 	next        Seconds
 }
