--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -510,6 +510,21 @@
 	}
 }
 
+// Streams that break mean a cut or a crash before any sum tells: that is no calm either.
+func TestBrokenStreamsEndCalm(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(4)
+	for range 12 {
+		w.feed(8, 0.1, nil, nil)
+	}
+	calm := w.c.gate.calm
+	w.step(0.1, Left{3})
+	if w.feed(8, 0.1, nil, nil); !calm || w.c.gate.calm {
+		t.Fatalf("calm before %v, after %v", calm, w.c.gate.calm)
+	}
+}
+
 // A cold server listed in a known jam, between two looks at it, must not come in with what was reckoned before it.
 func TestColdServerListedInAJamStaysOut(t *testing.T) {
 	w := newWorld(t, map[string]any{"strikes": 3.0})
