Read-through: the hold on cold servers reckoned once a deal, dead notes and twins gone

Whether cold servers stay out was reckoned anew for each server of each arc; it is one answer a deal. Two note types nothing sends are gone; a field's comment told what it never held; the method look-up of the two usage events and the restart in three tests are one piece each.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -117,7 +117,7 @@
 	case Entry:
 		b.listed(n)
 	case TrySum:
-		if c.met(i, n, healthSpan); n.Tries > n.Bad && c.away(i) == false {
+		if c.met(i, n, healthSpan); n.Tries > n.Bad && !c.away(i) {
 			c.deaf[i] = 0 // a deep probe waits in the queue of a jam; RPCs that are answered tell better
 		}
 		b.judge()
@@ -224,24 +224,27 @@
 	}
 }
 
-// fit tells whether a zone's arcs may take a server. In a jam proxies that strike, or pick the less busy,
-// flee from all that push back to a cold server beside them, whatever its weight: it stays out until it
+// frail tells whether cold servers must stay out of the arcs. In a jam proxies that strike, or pick the less
+// busy, flee from all that push back to a cold server beside them, whatever its weight: it stays out until it
 // can take that.
-func (c *Planner) fit(i, zone int) bool {
+func (c *Planner) frail() bool {
 	g := c.gate
-	if c.ease[i] < 1 && !g.calm && c.boot.Num("strikes", 0) > 0 {
-		isCold := func(i int) float64 { return c.weight[i] * math.Ceil(1-c.ease[i]) }
-		flee := sum(g.came) * c.open(isCold) / c.open(c.full)
-		able := g.best * c.open(func(i int) float64 { return isCold(i) * c.ease[i] })
-		if c.boot.Word("pick") == "pair" {
-			flee *= 2 // who has nothing out is picked whenever drawn
-		}
-		told := g.first > 0 && c.now > g.first+gateSpan // a start of ours knows nothing of a jam yet
-		if !told || min(flee, sum(g.came)) > coldStrain*c.boot.Num("fall_multiple", 3)*able {
-			return false
-		}
+	if g.calm || c.boot.Num("strikes", 0) <= 0 {
+		return false
+	}
+	isCold := func(i int) float64 { return c.weight[i] * math.Ceil(1-c.ease[i]) }
+	flee := sum(g.came) * c.open(isCold) / c.open(c.full)
+	able := g.best * c.open(func(i int) float64 { return isCold(i) * c.ease[i] })
+	if c.boot.Word("pick") == "pair" {
+		flee *= 2 // who has nothing out is picked whenever drawn
 	}
-	return c.bench[i][zone] <= c.now && !c.away(i)
+	told := g.first > 0 && c.now > g.first+gateSpan // a start of ours knows nothing of a jam yet
+	return !told || min(flee, sum(g.came)) > coldStrain*c.boot.Num("fall_multiple", 3)*able
+}
+
+// fit tells whether health lets a zone's arcs take a server.
+func (r *ring) fit(i, zone int) bool {
+	return r.c.bench[i][zone] <= r.c.now && !r.c.away(i) && !(r.frail && r.c.ease[i] < 1)
 }
 
 // away tells whether a server has been deaf to two probes, and most others have not.
@@ -287,8 +290,7 @@
 			out += c.weight[i]
 		}
 	}
-	// What is left must not have to carry much more than servers have been seen to: a jam is no time to
-	// bench.
+	// What is left must not have to carry much more than servers have been seen to: no benching in a jam.
 	return bad / all, out <= benchPart*open && sum(c.gate.came) <= benchStrain*c.gate.best*(open-out)
 }
 
@@ -314,13 +316,14 @@
 // step takes servers from the path until they fill an arc. One that has its part of the usage already is
 // passed over, as in consistent hashing with bounded loads; so is one on the bench. One that is cold
 // fills less of its place, so that an arc has enough warm weight beside it.
-func (w *walk) step(c *Planner, path []int, bound float64) {
+func (r *ring) step(w *walk, path []int, bound float64) {
+	c := r.c
 	for _, i := range path {
 		place := c.ease[i] * c.weight[i]
 		if w.fill < place/2 && w.least < 0.5 {
 			return
 		}
-		if !w.took[i] && c.fit(i, w.p.zone) && c.carry[i]+w.per*place <= bound*c.part[i] {
+		if !w.took[i] && r.fit(i, w.p.zone) && c.carry[i]+w.per*place <= bound*c.part[i] {
 			w.took[i] = true
 			c.carry[i] += w.per * place
 			c.cover[i]++
@@ -333,7 +336,7 @@
 
 func (r *ring) deal() {
 	c := r.c
-	r.dirty, r.sized = false, c.now
+	r.dirty, r.sized, r.frail = false, c.now, c.frail()
 	order := c.hashed(func(i int) bool { return c.state[i] == Open })
 	asks, mean := 1e-9, c.open(c.full)/float64(len(order))
 	// A cold server's part goes by the mean trust: it has had no time to lose any.
@@ -362,8 +365,7 @@
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
 	c.carry, c.cover = make([]float64, len(c.id)), make([]int, len(c.id))
 	starts := make([]int, len(c.zones))
-	// The proxies of other coordinators are taken to bring the servers their even part, as nothing tells
-	// more.
+	// The proxies of other coordinators are taken to bring the servers their even part.
 	bound := asks * (1 + (c.gate.fair-1)*max(1, c.boot.Num("proxies", 1)/max(joined, 1))) / room
 	for _, w := range walks {
 		p := w.p
@@ -376,10 +378,10 @@
 		if !w.s.near {
 			w.path = slices.Concat(near, far)
 		}
-		w.step(c, w.path, bound)
+		r.step(w, w.path, bound)
 		rest := slices.Clone(w.path)
 		slices.SortStableFunc(rest, func(a, b int) int { return cmp.Compare(c.rich(a), c.rich(b)) })
-		w.step(c, rest, math.Inf(1))
+		r.step(w, rest, math.Inf(1))
 		// Health never leaves an arc bare: what is unfit still beats nothing.
 		if !slices.ContainsFunc(w.path, func(i int) bool { return w.took[i] && !c.shut[i] }) {
 			for _, i := range w.path {
@@ -393,7 +395,7 @@
 			return cmp.Compare(slices.Index(a.path, i), slices.Index(b.path, i))
 		})
 		for _, w := range walks {
-			if c.cover[i] < coverage && slices.Contains(w.path, i) && !w.took[i] && c.fit(i, w.p.zone) {
+			if c.cover[i] < coverage && slices.Contains(w.path, i) && !w.took[i] && r.fit(i, w.p.zone) {
 				w.took[i] = true
 				c.cover[i]++
 			}
@@ -518,8 +520,7 @@
 }
 
 // pull sends the withdrawals that are owed, without waiting for answers. When many have gone of late they
-// are gathered for part of the grace, against a list that drops its servers one by one and a limit on
-// messages.
+// are gathered for part of the grace, against a list that drops its servers one by one.
 func (c *Planner) pull() {
 	oldest := math.Inf(1)
 	for _, since := range c.owed {
@@ -607,8 +608,7 @@
 // free is when a method's RPCs are tried again while there is no jam. After proof only, idempotent ones
 // too: a second send after a mere time-out feeds the jam that it came from.
 func (c *Planner) free(at string) Tries {
-	// A second send is at most one try's wait after the first; all servers must then still drop the
-	// repeat.
+	// A second send is at most one try's wait after the first: is the repeat surely dropped then?
 	soon := c.boot.Num("try_wait", 1)*c.boot.Num(at+"soft_deadline", 1) < 0.9*c.boot.Num(at+"window", 0)
 	if c.boot.Word(at+"effect") == "tokened" && c.boot.Word(at+"group") == "all" && soon {
 		return TryAgain
@@ -649,8 +649,8 @@
 		best := math.Inf(1)
 		for z := range c.tries[i] {
 			fade := math.Exp(-(c.now - c.last[i][z]) / healthSpan)
-			slow += (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan * c.delay[i][z] / g.soft
-			good += (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan
+			rate := (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan
+			slow, good = slow+rate*c.delay[i][z]/g.soft, good+rate
 			if t := c.tries[i][z]; t >= healthTries/2 && fade > 0.2 {
 				best = min(best, max(c.bad[i][z]/t/jamBad, c.delay[i][z]/g.soft/jamDelay))
 			}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -254,6 +254,14 @@
 	}
 }
 
+// restart tells of a restart in place of the first server.
+func (w *world) restart() Entry {
+	again := full(8, 0).Entries[0]
+	again.Start = w.now
+	w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{again}})
+	return again
+}
+
 func count[T Order](orders []Order) (n int) {
 	for _, o := range orders {
 		if _, ok := o.(T); ok {
@@ -367,9 +375,7 @@
 	w := newWorld(t, nil)
 	w.step(0, full(8, 0))
 	w.join(4)
-	again := full(8, 0).Entries[0]
-	again.Start = w.now
-	w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{again}})
+	again := w.restart()
 	for table, lines := range w.tables {
 		if lines[again.EP] > 0.2*2+1e-9 {
 			t.Fatalf("table %d gives a cold server %v", table, lines[again.EP])
@@ -499,9 +505,7 @@
 	w := newWorld(t, map[string]any{"strikes": 3.0})
 	w.step(0, full(8, 0))
 	w.join(6)
-	again := full(8, 0).Entries[0]
-	again.Start = w.now
-	w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{again}})
+	w.restart()
 	if w.step(0.5); w.lines(1000) > 0 {
 		t.Fatal("a cold server got lines before anything told of calm")
 	}
@@ -533,9 +537,7 @@
 	for range 8 {
 		w.feed(8, 1.5, nil, nil)
 	}
-	again := full(8, 0).Entries[0]
-	again.Start = w.now
-	w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{again}})
+	w.restart()
 	if w.step(0.1); !w.c.gate.jammed || w.lines(1000) > 0 {
 		t.Fatalf("jammed %v, %d lines", w.c.gate.jammed, w.lines(1000))
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -157,6 +157,7 @@
 	box
 	c     *Planner
 	dirty bool
+	frail bool // cold servers stay out of the arcs now being dealt
 	sized Seconds
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -229,16 +229,14 @@
 
 // The notes that the parts send each other, beside the events themselves.
 type (
-	redo   struct{}               // deal the arcs anew
-	clock  struct{}               // time has passed
-	arc    struct{ lines []line } // what a table should hold
-	levels struct {               // what tables should let in, by method
+	redo   struct{} // deal the arcs anew
+	clock  struct{} // time has passed
+	levels struct { // what tables should let in, by method
 		share []float64
 		tries []Tries
 	}
-	flush  struct{} // send what waits, if the clock allows
-	pushed struct{ lines int }
-	heard  struct {
+	flush struct{} // send what waits, if the clock allows
+	heard struct {
 		mark  Mark
 		delay Seconds
 	}
@@ -279,7 +277,7 @@
 	ease              []float64 // share of its full weight
 	carry             []float64 // usage that the arcs dealt so far bring it
 	part              []float64 // weight, as far as the server is warm and trusted
-	good, back, dealt []Seconds // last good answer; return from deafness; when it first got a part
+	good, back, dealt []Seconds // last good answer; return from deafness; when it was first listed
 	deaf              []int     // probes in a row without an answer
 	trust             []float64 // of its part of the usage, what arcs may bring it
 	leant             []Seconds // when that was last looked at
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -119,25 +119,29 @@
 		}
 		in.events = append(in.events, l)
 	case wire.Usage:
-		m, ok := in.methods[body.Method]
-		if !ok {
-			return fmt.Errorf("Traffic: field Category names an unknown method: %q", body.Method)
-		}
+		m, err := in.method("Traffic", body.Method)
 		body.Sum.Method = m
 		in.events = append(in.events, body.Sum)
+		return err
 	case wire.SliceUsage:
-		m, ok := in.methods[body.Method]
-		if !ok {
-			return fmt.Errorf("RangeLoad: field Category names an unknown method: %q", body.Method)
-		}
+		m, err := in.method("RangeLoad", body.Method)
 		body.Sum.Method = m
 		in.events = append(in.events, body.Sum)
+		return err
 	default:
 		in.events = append(in.events, body)
 	}
 	return nil
 }
 
+func (in *inst) method(event, name string) (choice.Method, error) {
+	m, ok := in.methods[name]
+	if !ok {
+		return 0, fmt.Errorf("%s: field Category names an unknown method: %q", event, name)
+	}
+	return m, nil
+}
+
 func (in *inst) step(now choice.Seconds) (orders []choice.Order) {
 	events := in.events
 	in.events = nil
