--- /dev/null
+++ b/choice/bench_test.go
@@ -0,0 +1,37 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// How a deal and a quiet step grow with the fleet; figures of growth stand in docs/design.md.
+func BenchmarkGrowth(b *testing.B) {
+	for _, size := range [][2]int{{100, 100}, {350, 270}, {600, 770}} {
+		c := New(Bootstrap{Seed: 7, Now: 100, Values: values(nil)})
+		c.Step(100, []Event{full(size[0], 0)})
+		now := 100.0
+		for p := range size[1] {
+			c.Step(now, []Event{Joined{Proxy(p), Zone("ab"[p%2 : p%2+1]), float64(1 + p%7), true}})
+		}
+		for now < 110 {
+			now += 0.1
+			var all []Event
+			for _, p := range c.proxies {
+				all = append(all, Answered{p.id, p.mark, 0.2})
+			}
+			c.Step(now, all)
+		}
+		b.Run(fmt.Sprintf("deal/%d-%d", size[0], size[1]), func(b *testing.B) {
+			for b.Loop() {
+				c.ring.deal()
+			}
+		})
+		b.Run(fmt.Sprintf("step/%d-%d", size[0], size[1]), func(b *testing.B) {
+			for b.Loop() {
+				now += 0.004
+				c.Step(now, nil)
+			}
+		})
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 )
@@ -20,6 +21,8 @@
 	fairLeast    = 1.1  // of its part of the usage, what a server takes before arcs pass, if answers are slow
 	fairMost     = 1.5  // and when they are quick, so that arcs keep to their zone
 	arcMean      = 6.0  // servers in an arc, on average
+	stay         = 1.1  // of the bound, what a server takes before it is passed over by an arc that has it
+	absent       = 10.0 // seconds for which a proxy that left keeps its arc
 	usageSpan    = 30.0 // seconds over which usage is averaged
 	resizeBy     = 2    // an arc's size moves by no less
 	climbSteps   = 4    // messages that a new server's climb costs each proxy
@@ -54,6 +57,11 @@
 		for _, p := range c.parts() {
 			c.post(p, clock{})
 		}
+		for _, p := range c.proxies {
+			if p.flying || p.waits { // silence, and room for what had to wait, come with time alone
+				c.stir(p)
+			}
+		}
 		c.alarm = now + tick
 		c.out = append(c.out, Alarm{1, c.alarm})
 		c.loop()
@@ -64,9 +72,11 @@
 		if c.ring.dirty {
 			c.ring.deal()
 		}
-		for _, p := range c.proxies {
+		for _, p := range c.stirred {
+			p.stirred = false
 			c.post(p, flush{})
 		}
+		c.stirred = c.stirred[:0]
 		c.loop()
 		c.seal()
 	}
@@ -189,11 +199,14 @@
 	c, i := b.c, b.i
 	all, bad := sum(c.tries[i]), sum(c.bad[i])
 	for z, t := range c.tries[i] {
-		usual, spare := c.others(z, i)
 		f := c.bad[i][z]
+		if c.bench[i][z] > c.now || bad <= healthBad*all && f <= healthBad*t {
+			continue
+		}
+		usual, spare := c.others(z, i)
 		pooled := all >= healthTries && bad > (healthBad+usual)*all && f >= healthBad*t
 		alone := t >= healthTries && f > (healthBad+usual)*t
-		if c.bench[i][z] > c.now || !pooled && !alone || !spare {
+		if !pooled && !alone || !spare {
 			continue
 		}
 		c.bench[i][z] = c.now + min(benchLeast*math.Exp2(float64(c.fouls[i][z])), 4*benchLeast)
@@ -219,6 +232,10 @@
 		c.deaf[i]++
 		c.probe[i] = c.now
 	}
+	if alone := c.alike(); alone != c.alone {
+		c.alone = alone
+		c.post(c.ring, redo{})
+	}
 	if was != c.away(i) {
 		c.post(c.ring, redo{})
 	}
@@ -248,8 +265,11 @@
 }
 
 // away tells whether a server has been deaf to two probes, and most others have not.
-func (c *Planner) away(i int) bool {
-	return c.deaf[i] >= 2 && c.open(func(k int) float64 { return 1 - 2*min(1, float64(c.deaf[k]/2)) }) > 0
+func (c *Planner) away(i int) bool { return c.deaf[i] >= 2 && !c.alone }
+
+// alike tells whether most servers seem deaf: then it is we who are cut off.
+func (c *Planner) alike() bool {
+	return c.open(func(k int) float64 { return 1 - 2*min(1, float64(c.deaf[k]/2)) }) <= 0
 }
 
 // lean lowers the part of the usage that arcs bring a server whose answers take too long while most do
@@ -313,36 +333,80 @@
 	return p.size
 }
 
+// path gives the servers in the order in which an arc takes them: its own zone's from its start on, then the
+// others', on the same ring.
+func (r *ring) path(w *walk) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for k, turn := range [][]int{r.near[w.p.zone], r.order} {
+			at, _ := slices.BinarySearchFunc(turn, w.p.start, func(i int, h uint32) int {
+				return cmp.Compare(r.c.hash[i], h)
+			})
+			for j := range turn {
+				i := turn[(at+j)%len(turn)]
+				if near := r.c.zone[i] == w.p.zone; (k == 1) != near && !(w.s.near && !near) && !yield(i) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // step takes servers from the path until they fill an arc. One that has its part of the usage already is
-// passed over, as in consistent hashing with bounded loads; so is one on the bench. One that is cold
-// fills less of its place, so that an arc has enough warm weight beside it.
-func (r *ring) step(w *walk, path []int, bound float64) {
+// passed over, as in consistent hashing with bounded loads, but later if the arc has it already, against
+// changes that pass from arc to arc; so is one that is not fit. One that is cold fills less of its place,
+// so that an arc has enough warm weight beside it.
+func (r *ring) step(w *walk, bound float64, fit func(i, zone int) bool) {
 	c := r.c
-	for _, i := range path {
-		place := c.ease[i] * c.weight[i]
+	for i := range r.path(w) {
+		place, limit := c.ease[i]*c.weight[i], bound*c.part[i]
 		if w.fill < place/2 && w.least < 0.5 {
 			return
 		}
-		if !w.took[i] && r.fit(i, w.p.zone) && c.carry[i]+w.per*place <= bound*c.part[i] {
-			w.took[i] = true
+		if r.has[i] == w {
+			limit *= stay
+		}
+		if r.took[i] != w && c.carry[i]+w.per*place <= limit && fit(i, w.p.zone) {
+			r.took[i], w.arc = w, append(w.arc, i)
 			c.carry[i] += w.per * place
 			c.cover[i]++
 			if !c.shut[i] {
-				w.fill, w.least = w.fill-place, w.least-c.ease[i]
+				w.fill, w.least, w.usable = w.fill-place, w.least-c.ease[i], true
 			}
 		}
 	}
 }
 
+// settle gives a proxy that is new its start, which it keeps: where the last deal left the ring least used.
+// So starts are dealt evenly, yet an arc moves for its own reasons or its servers' only.
+func (r *ring) settle(w *walk, n float64) {
+	c, p, turn := r.c, w.p, r.near[w.p.zone]
+	if len(turn) == 0 {
+		turn = r.order
+	}
+	at := 0
+	for k, i := range turn {
+		if c.rich(i) < c.rich(turn[at]) {
+			at = k
+		}
+	}
+	p.start, p.settled = c.hash[turn[at]], true
+	for k := range min(int(n), len(turn)) {
+		i := turn[(at+k)%len(turn)]
+		c.carry[i] += w.per * c.weight[i] * c.ease[i]
+	}
+}
+
 func (r *ring) deal() {
 	c := r.c
 	r.dirty, r.sized, r.frail = false, c.now, c.frail()
-	order := c.hashed(func(i int) bool { return c.state[i] == Open })
-	asks, mean := 1e-9, c.open(c.full)/float64(len(order))
+	r.order = c.hashed(func(i int) bool { return c.state[i] == Open })
+	r.near = make([][]int, len(c.zones))
+	asks, mean := 1e-9, c.open(c.full)/float64(len(r.order))
 	// A cold server's part goes by the mean trust: it has had no time to lose any.
-	trust, room := c.open(func(i int) float64 { return c.trust[i] })/float64(len(order)), 1e-9
+	trust, room := c.open(func(i int) float64 { return c.trust[i] })/float64(len(r.order)), 1e-9
 	c.part = make([]float64, len(c.id))
-	for _, i := range order {
+	for _, i := range r.order {
+		r.near[c.zone[i]] = append(r.near[c.zone[i]], i)
 		if c.part[i] = c.weight[i] * c.ease[i] * c.trust[i]; c.ease[i] < 1 {
 			c.part[i] = c.weight[i] * c.ease[i] * min(trust, c.trust[i])
 		}
@@ -351,62 +415,74 @@
 		}
 	}
 	var walks []*walk
-	joined := 0.0
+	here := 0.0
 	for _, p := range c.proxies {
-		if p.joined {
-			joined++
+		// One that has just left sends by its table as before, and mostly comes again.
+		if p.joined || c.now < p.parted+absent {
+			here++
 			asks += p.rate()
 			for _, s := range p.sheets {
-				walks = append(walks, &walk{p: p, s: s, took: make([]bool, len(c.id))})
+				walks = append(walks, &walk{p: p, s: s})
 			}
 		}
 	}
-	lines := max(coverage*float64(len(order)), arcMean*float64(len(walks)))
+	lines := max(coverage*float64(len(r.order)), arcMean*float64(len(walks)))
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
-	c.carry, c.cover = make([]float64, len(c.id)), make([]int, len(c.id))
-	starts := make([]int, len(c.zones))
 	// The proxies of other coordinators are taken to bring the servers their even part.
-	bound := asks * (1 + (c.gate.fair-1)*max(1, c.boot.Num("proxies", 1)/max(joined, 1))) / room
+	bound := asks * (1 + (c.gate.fair-1)*max(1, c.boot.Num("proxies", 1)/max(here, 1))) / room
 	for _, w := range walks {
-		p := w.p
-		n := float64(p.resize(lines/asks, len(order)))
-		near, far := split(order, func(i int) bool { return c.zone[i] == p.zone })
-		near, far = turn(near, starts[p.zone]), turn(far, starts[p.zone])
-		starts[p.zone] += int(n)
-		w.fill, w.least, w.per = n*mean, min(n, arcLeast), p.held/n/mean
-		w.path = near
-		if !w.s.near {
-			w.path = slices.Concat(near, far)
-		}
-		r.step(w, w.path, bound)
-		rest := slices.Clone(w.path)
-		slices.SortStableFunc(rest, func(a, b int) int { return cmp.Compare(c.rich(a), c.rich(b)) })
-		r.step(w, rest, math.Inf(1))
-		// Health never leaves an arc bare: what is unfit still beats nothing.
-		if !slices.ContainsFunc(w.path, func(i int) bool { return w.took[i] && !c.shut[i] }) {
-			for _, i := range w.path {
-				w.took[i] = true
+		n := float64(w.p.resize(lines/asks, len(r.order)))
+		w.fill, w.least, w.per = n*mean, min(n, arcLeast), w.p.held/n/mean
+		if !w.p.settled && len(r.order) > 0 {
+			r.settle(w, n)
+		}
+	}
+	c.carry, c.cover = make([]float64, len(c.id)), make([]int, len(c.id))
+	r.took, r.has = make([]*walk, len(c.id)), make([]*walk, len(c.id))
+	for _, w := range walks {
+		for _, l := range w.s.want {
+			r.has[l.ep] = w
+		}
+		for k := 0; k < 8 && (k == 0 || w.fill > 0); k++ {
+			r.step(w, bound*math.Exp2(float64(k)/2), r.fit)
+		}
+		// Health never leaves an arc bare: what is unfit still beats nothing, warm ones first.
+		for _, least := range []float64{1, 0} {
+			if !w.usable {
+				r.step(w, math.Inf(1), func(i, _ int) bool { return c.ease[i] >= least })
 			}
 		}
 	}
 	// What the arcs leave out goes to those that would reach it soonest.
-	for _, i := range order {
-		slices.SortStableFunc(walks, func(a, b *walk) int {
-			return cmp.Compare(slices.Index(a.path, i), slices.Index(b.path, i))
-		})
-		for _, w := range walks {
-			if c.cover[i] < coverage && slices.Contains(w.path, i) && !w.took[i] && r.fit(i, w.p.zone) {
-				w.took[i] = true
-				c.cover[i]++
+	for _, i := range r.order {
+		for c.cover[i] < coverage {
+			var best *walk
+			soonest := uint64(math.MaxUint64)
+			for _, w := range walks {
+				ahead := uint64(c.hash[i] - w.p.start)
+				if c.zone[i] != w.p.zone {
+					ahead += 1 << 32
+				}
+				if ahead < soonest && !(w.s.near && ahead >= 1<<32) && r.fit(i, w.p.zone) && !slices.Contains(w.arc, i) {
+					best, soonest = w, ahead
+				}
 			}
+			if best == nil {
+				break
+			}
+			best.arc = append(best.arc, i)
+			c.cover[i]++
 		}
 	}
 	for _, w := range walks {
-		w.s.want = nil
-		for _, i := range order {
-			if w.took[i] {
-				w.s.want = append(w.s.want, line{i, c.weight[i] * c.ease[i]})
-			}
+		was := w.s.want
+		w.s.want = make([]line, len(w.arc))
+		slices.Sort(w.arc)
+		for k, i := range w.arc {
+			w.s.want[k] = line{i, c.weight[i] * c.ease[i]}
+		}
+		if !slices.Equal(was, w.s.want) {
+			c.stir(w.p)
 		}
 	}
 }
@@ -416,7 +492,7 @@
 	switch n := n.(type) {
 	case Joined:
 		// The stream is new: a push of the last one is forgotten, and nothing of ours is bound.
-		p.joined, p.bound, p.flying, p.due, p.sent, p.size = true, false, false, 0, nil, 0
+		p.joined, p.bound, p.flying, p.due, p.sent = true, false, false, 0, nil
 		p.zone = c.place(n.Zone)
 		if p.rate() == 0 {
 			for m := range p.usage {
@@ -424,12 +500,14 @@
 			}
 		}
 		c.post(c.ring, redo{})
+		c.stir(p)
 	case Left:
-		p.joined, p.bound, p.flying, c.gate.broke = false, false, false, c.now
+		p.joined, p.bound, p.flying, p.parted, c.gate.broke = false, false, false, c.now, c.now
 		c.post(c.ring, redo{})
 	case Answered:
 		if p.flying && n.Mark == p.mark {
 			p.flying, p.confirmed = false, p.version
+			c.stir(p)
 		}
 	case UsageSum:
 		// A proxy with nothing to tell sends no sum, so the average fades with the time since the last.
@@ -438,6 +516,9 @@
 		p.summed[m] = c.now
 	case levels:
 		p.share, p.tries = n.share, n.tries
+		if slices.ContainsFunc(p.sheets, p.differs) {
+			c.stir(p)
+		}
 	case flush:
 		if p.joined {
 			p.flush()
@@ -450,8 +531,8 @@
 	c := p.c
 	silent := p.flying && c.now > p.left+silence*c.channel.usual
 	urgent := slices.ContainsFunc(p.sheets, p.urgent)
-	changed := silent || !p.bound || slices.ContainsFunc(p.sheets, p.differs)
-	if !changed || !urgent && (p.flying && !silent || !c.channel.room(p)) {
+	p.waits = silent || !p.bound || slices.ContainsFunc(p.sheets, p.differs)
+	if !p.waits || !urgent && (p.flying && !silent || !c.channel.room(p)) {
 		return
 	}
 	full := !p.bound || silent
@@ -526,6 +607,9 @@
 	for _, since := range c.owed {
 		oldest = min(oldest, cmp.Or(since, oldest))
 	}
+	if math.IsInf(oldest, 1) {
+		return
+	}
 	hold := max(0, c.boot.Num("drain_grace", 1)-c.boot.Num("push_time_worst", 0.4)-3*c.channel.usual) / 2
 	crowded := func(p *proxy) bool { return p.joined && !c.channel.few(p) }
 	if c.now < oldest+hold && slices.ContainsFunc(c.proxies, crowded) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -28,7 +28,9 @@
 	waiting []part
 	out     []Order
 	alarm   Seconds
-	heard   Seconds // the newest sum
+	heard   Seconds  // the newest sum
+	alone   bool     // most servers seem deaf
+	stirred []*proxy // what they hold may have to change in this step
 }
 
 func (c *Planner) parts() []part {
@@ -36,9 +38,6 @@
 	for _, e := range c.eps {
 		all = append(all, e)
 	}
-	for _, p := range c.proxies {
-		all = append(all, p)
-	}
 	return append(all, c.ring)
 }
 
@@ -159,25 +158,21 @@
 	dirty bool
 	frail bool // cold servers stay out of the arcs now being dealt
 	sized Seconds
+	order []int   // the open servers, in the order of the ring
+	near  [][]int // those of each zone
+	took  []*walk // the last arc that took each server in this deal
+	has   []*walk // the last arc walked that had it before
 }
 
-// walk is the way one arc takes: the servers in order, and those that it has taken.
+// walk is the way one arc takes.
 type walk struct {
-	p     *proxy
-	s     *sheet
-	path  []int
-	took  []bool
-	fill  float64 // weight still to take
-	least float64 // servers still to take
-	per   float64 // usage for each weight
-}
-
-func turn(ring []int, at int) []int {
-	if len(ring) == 0 {
-		return nil
-	}
-	at %= len(ring)
-	return slices.Concat(ring[at:], ring[:at])
+	p      *proxy
+	s      *sheet
+	arc    []int
+	fill   float64 // weight still to take
+	least  float64 // servers still to take
+	per    float64 // usage for each weight
+	usable bool    // it has a server that is not withdrawn
 }
 
 // proxy is the actor of one proxy: its tables and its clock.
@@ -188,6 +183,11 @@
 	zone      int
 	joined    bool
 	bound     bool
+	start     uint32    // of its arc, on the ring
+	settled   bool      // it has one
+	parted    Seconds   // when it last left
+	stirred   bool      // it is among those of this step
+	waits     bool      // something for it could not be sent yet
 	size      int       // of its arc
 	held      float64   // its usage when that was set
 	usage     []float64 // RPCs a second, by method
@@ -253,6 +253,9 @@
 	for _, p := range c.proxies {
 		if p.joined && (!p.bound || p.heaviest(i) > 0) {
 			p.due++
+			c.stir(p)
+		} else if p.waits {
+			c.stir(p) // what it waits for may hold this server
 		}
 	}
 }
@@ -316,17 +319,6 @@
 	return order
 }
 
-func split(all []int, fits func(int) bool) (in, out []int) {
-	for _, i := range all {
-		if fits(i) {
-			in = append(in, i)
-		} else {
-			out = append(out, i)
-		}
-	}
-	return in, out
-}
-
 func sum(of []float64) (total float64) {
 	for _, x := range of {
 		total += x
@@ -398,6 +390,14 @@
 	}
 }
 
+// stir has a proxy look at what it holds before the step ends.
+func (c *Planner) stir(p *proxy) {
+	if !p.stirred {
+		p.stirred = true
+		c.stirred = append(c.stirred, p)
+	}
+}
+
 // rich is how much of its part of the usage the arcs bring a server.
 func (c *Planner) rich(i int) float64 { return c.carry[i] / c.part[i] }
 
