--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,8 +21,6 @@
 	fairLeast    = 1.1  // of its part of the usage, what a server takes before arcs pass, if answers are slow
 	fairMost     = 1.5  // and when they are quick, so that arcs keep to their zone
 	arcMean      = 6.0  // servers in an arc, on average
-	stay         = 1.1  // of the bound, what a server takes before it is passed over by an arc that has it
-	absent       = 10.0 // seconds for which a proxy that left keeps its arc
 	usageSpan    = 30.0 // seconds over which usage is averaged
 	resizeBy     = 2    // an arc's size moves by no less
 	climbSteps   = 4    // messages that a new server's climb costs each proxy
@@ -352,20 +350,16 @@
 }
 
 // step takes servers from the path until they fill an arc. One that has its part of the usage already is
-// passed over, as in consistent hashing with bounded loads, but later if the arc has it already, against
-// changes that pass from arc to arc; so is one that is not fit. One that is cold fills less of its place,
-// so that an arc has enough warm weight beside it.
+// passed over, as in consistent hashing with bounded loads; so is one that is not fit. One that is cold fills
+// less of its place, so that an arc has enough warm weight beside it.
 func (r *ring) step(w *walk, bound float64, fit func(i, zone int) bool) {
 	c := r.c
 	for i := range r.path(w) {
-		place, limit := c.ease[i]*c.weight[i], bound*c.part[i]
+		place := c.ease[i] * c.weight[i]
 		if w.fill < place/2 && w.least < 0.5 {
 			return
 		}
-		if r.has[i] == w {
-			limit *= stay
-		}
-		if r.took[i] != w && c.carry[i]+w.per*place <= limit && fit(i, w.p.zone) {
+		if r.took[i] != w && c.carry[i]+w.per*place <= bound*c.part[i] && fit(i, w.p.zone) {
 			r.took[i], w.arc = w, append(w.arc, i)
 			c.carry[i] += w.per * place
 			c.cover[i]++
@@ -417,8 +411,7 @@
 	var walks []*walk
 	here := 0.0
 	for _, p := range c.proxies {
-		// One that has just left sends by its table as before, and mostly comes again.
-		if p.joined || c.now < p.parted+absent {
+		if p.joined {
 			here++
 			asks += p.rate()
 			for _, s := range p.sheets {
@@ -438,13 +431,11 @@
 		}
 	}
 	c.carry, c.cover = make([]float64, len(c.id)), make([]int, len(c.id))
-	r.took, r.has = make([]*walk, len(c.id)), make([]*walk, len(c.id))
+	r.took = make([]*walk, len(c.id))
 	for _, w := range walks {
-		for _, l := range w.s.want {
-			r.has[l.ep] = w
-		}
-		for k := 0; k < 8 && (k == 0 || w.fill > 0); k++ {
-			r.step(w, bound*math.Exp2(float64(k)/2), r.fit)
+		// When all have their part, the bound gives way by small steps, so that what is too much lies even.
+		for limit := bound; limit == bound || w.fill > 0 && limit < 16*bound; limit *= 1.09 {
+			r.step(w, limit, r.fit)
 		}
 		// Health never leaves an arc bare: what is unfit still beats nothing, warm ones first.
 		for _, least := range []float64{1, 0} {
@@ -502,7 +493,7 @@
 		c.post(c.ring, redo{})
 		c.stir(p)
 	case Left:
-		p.joined, p.bound, p.flying, p.parted, c.gate.broke = false, false, false, c.now, c.now
+		p.joined, p.bound, p.flying, c.gate.broke = false, false, false, c.now
 		c.post(c.ring, redo{})
 	case Answered:
 		if p.flying && n.Mark == p.mark {
@@ -556,14 +547,6 @@
 	return p.bound && (bare || slices.ContainsFunc(s.told, cold))
 }
 
-func (p *proxy) differs(s *sheet) bool {
-	other := !slices.Equal(s.want, s.told)
-	for m := range p.share {
-		other = other || s.has(m) && (s.level[m] != p.level(m) || s.tries[m] != p.tries[m])
-	}
-	return other && len(s.want) > 0
-}
-
 // level is what a table lets in of a method, in the unit that the proxies go by.
 func (p *proxy) level(m int) float64 {
 	if p.share[m] >= 1 || p.c.boot.Word("level_kind") != "rate" {
@@ -577,29 +560,6 @@
 	return want
 }
 
-// write brings a table to what it should hold; with no server to use, it keeps what it has.
-func (p *proxy) write(s *sheet) {
-	c := p.c
-	if len(s.want) == 0 {
-		return
-	}
-	for _, l := range delta(s.told, s.want) {
-		c.out = append(c.out, SetLine{s.table, c.id[l.ep], l.w})
-		p.due++
-	}
-	s.told = slices.Clone(s.want)
-	for m := range p.share {
-		if level := p.level(m); s.has(m) && (s.level[m] != level || s.tries[m] != p.tries[m]) {
-			s.level[m], s.tries[m] = level, p.tries[m]
-			if c.boot.Word("level_kind") == "rate" && level == 1 {
-				level = 1e6
-			}
-			c.out = append(c.out, SetLevel{s.table, 1 << m, level, p.tries[m]})
-			p.due++
-		}
-	}
-}
-
 // pull sends the withdrawals that are owed, without waiting for answers. When many have gone of late they
 // are gathered for part of the grace, against a list that drops its servers one by one.
 func (c *Planner) pull() {
--- a/choice/state.go
+++ b/choice/state.go
@@ -161,7 +161,6 @@
 	order []int   // the open servers, in the order of the ring
 	near  [][]int // those of each zone
 	took  []*walk // the last arc that took each server in this deal
-	has   []*walk // the last arc walked that had it before
 }
 
 // walk is the way one arc takes.
@@ -185,7 +184,6 @@
 	bound     bool
 	start     uint32    // of its arc, on the ring
 	settled   bool      // it has one
-	parted    Seconds   // when it last left
 	stirred   bool      // it is among those of this step
 	waits     bool      // something for it could not be sent yet
 	size      int       // of its arc
@@ -267,6 +265,37 @@
 	return lines
 }
 
+func (p *proxy) differs(s *sheet) bool {
+	other := !slices.Equal(s.want, s.told)
+	for m := range p.share {
+		other = other || s.has(m) && (s.level[m] != p.level(m) || s.tries[m] != p.tries[m])
+	}
+	return other && len(s.want) > 0
+}
+
+// write brings a table to what it should hold; with no server to use, it keeps what it has.
+func (p *proxy) write(s *sheet) {
+	c := p.c
+	if len(s.want) == 0 {
+		return
+	}
+	for _, l := range delta(s.told, s.want) {
+		c.out = append(c.out, SetLine{s.table, c.id[l.ep], l.w})
+		p.due++
+	}
+	s.told = slices.Clone(s.want)
+	for m := range p.share {
+		if level := p.level(m); s.has(m) && (s.level[m] != level || s.tries[m] != p.tries[m]) {
+			s.level[m], s.tries[m] = level, p.tries[m]
+			if c.boot.Word("level_kind") == "rate" && level == 1 {
+				level = 1e6
+			}
+			c.out = append(c.out, SetLevel{s.table, 1 << m, level, p.tries[m]})
+			p.due++
+		}
+	}
+}
+
 // channel counts what may still wait in it, and keeps marks and the usual answer time.
 type channel struct {
 	box
