Bad tries beside quick answers are no jam; levels come back by how much is jammed, not if none is

At size one of 500 servers always looks jammed, so levels came back by 5% a second at most. Change: bad tries count only where the mean answer takes over half a soft deadline.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -688,7 +688,13 @@
 // fares best with it, as a cut between zones is no jam.
 func (g *gate) look() {
 	c := g.c
-	jam, all, good, slow := 0.0, 0.0, 0.0, 0.0
+	jam, all, good, slow, crowded := 0.0, 0.0, 0.0, 0.0, 0.0
+	// Servers push back when their queues are full, and then what they answer has waited. Bad tries beside
+	// quick answers are something else: a group that fails, or fails us alone; letting in less would not help.
+	// It harms where servers push back early, before their queues cost half a soft deadline.
+	if g.slow > jamDelay {
+		crowded = 1
+	}
 	for i := range c.id {
 		best := math.Inf(1)
 		for z := range c.tries[i] {
@@ -696,7 +702,7 @@
 			rate := (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan
 			slow, good = slow+rate*c.delay[i][z]/g.soft, good+rate
 			if t := c.tries[i][z]; t >= healthTries/2 && fade > 0.2 {
-				best = min(best, max(c.bad[i][z]/t/jamBad, c.delay[i][z]/g.soft/jamDelay))
+				best = min(best, max(crowded*c.bad[i][z]/t/jamBad, c.delay[i][z]/g.soft/jamDelay))
 			}
 		}
 		if !math.IsInf(best, 1) && c.state[i] == Open {
@@ -721,7 +727,7 @@
 		}
 	default:
 		g.jammed = g.jammed && c.now < g.since+gateSpan
-		g.limit *= 1.05 + 0.1*math.Floor(1-jam/all)
+		g.limit *= 1.05 + 0.2*max(0, 1-2*jam/all/jamPart)
 	}
 	g.first = cmp.Or(g.first, c.now)
 	// A jam may be near before sums tell: streams broke, answers slow down, the list took much of the room.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -460,6 +460,20 @@
 	}
 }
 
+// Half of the servers failing beside quick answers of the rest is no overload: nothing is refused for it.
+func TestAGroupThatFailsIsNoJam(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(4)
+	bad := map[EP]float64{1000: 0.7, 1077: 0.7, 1154: 0.7, 1231: 0.7}
+	for range 10 {
+		w.feed(8, 0.1, bad, nil)
+	}
+	if g := w.c.gate; g.jammed || g.share[0] < 1 {
+		t.Fatalf("jammed %v, shares %v", g.jammed, g.share)
+	}
+}
+
 // A server that answers neither RPCs nor probes leaves the arcs; silence alone does not move it.
 func TestDeafServerLeavesTheArcs(t *testing.T) {
 	w := newWorld(t, nil)
