Cold servers come in where nothing can flee to them; a group that fails us is benched by the best quarter

At size a line sees half an RPC a second: a proxy needs ten seconds to strike, so nothing flees before sums tell. Health measures by the best quarter of the servers and may bench up to 0.65, while the rest can carry it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,13 +24,14 @@
 	usageSpan    = 30.0 // seconds over which usage is averaged
 	resizeBy     = 2    // an arc's size moves by no less
 	climbSteps   = 4    // messages that a new server's climb costs each proxy
+	leaving      = 4.0  // times what the lines ahead need, after which a push has left the channel
 	silence      = 4.0  // usual answer times without an answer that bring a full resend
 	healthSpan   = 3.0  // seconds over which tries are averaged for health
 	healthTries  = 4.0  // tries that a judgement needs
 	healthBad    = 0.3  // share of bad tries, beyond the fleet's, that benches a server
 	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
 	benchStrain  = 1.3  // of the best rate of answers seen, what health may ask of those left
-	benchPart    = 0.34 // most of a zone's view of the fleet that health may bench
+	benchPart    = 0.65 // most of a zone's view of the fleet that health may bench
 	probeEvery   = 1.0  // seconds
 	leanDelay    = 0.3  // of the shortest soft deadline, what a server takes before arcs lean away from it
 	leanBeyond   = 1.2  // and of the mean
@@ -39,6 +40,7 @@
 	jamDelay     = 0.5  // or a mean time of this much of the shortest soft deadline
 	limitLeast   = 0.8  // of the best rate of answers seen
 	coldStrain   = 0.6  // of what topples a cold server, what may flee to it in a jam
+	struckMost   = 0.1  // share of tries at servers where a proxy would strike, above which they may flee
 	gateSpan     = 4.0  // seconds over which the gate looks back
 	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
 	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
@@ -94,19 +96,7 @@
 		if n.Kind != ListKept {
 			r.tried, r.ask = 0, math.Inf(1)
 		}
-		listed := map[int]bool{}
-		for _, e := range n.Entries {
-			i := c.backend(e.EP)
-			listed[i] = true
-			c.post(c.eps[i], e)
-		}
-		if n.Kind != ListDelta {
-			for i, e := range c.eps {
-				if !listed[i] && c.state[i] != Gone {
-					c.post(e, Entry{EP: c.id[i], State: Gone, Start: c.start[i]})
-				}
-			}
-		}
+		c.spread(n)
 	}
 	r.look()
 }
@@ -190,21 +180,18 @@
 	return cold + (1-cold)*math.Floor(max(age, 0)/span*climbSteps)/climbSteps
 }
 
-// judge benches a server that does badly while the others do not: one that aborts, hangs, or can't be
-// reached, for all zones or for the one from which it does. Silence proves nothing, and trouble of most
-// servers is a jam.
+// judge benches a server that does badly while others do not: one that aborts, hangs, or can't be reached,
+// for all zones or for the one from which it does. It is measured by the best quarter, seen from the zone that
+// fares best, so that a group that fails, even most of the fleet, or fails us alone, is found; in a jam the
+// best push back as well. It harms a good server that has bad luck with few tries.
 func (b *backend) judge() {
 	c, i := b.c, b.i
 	all, bad := sum(c.tries[i]), sum(c.bad[i])
 	for z, t := range c.tries[i] {
-		f := c.bad[i][z]
-		if c.bench[i][z] > c.now || bad <= healthBad*all && f <= healthBad*t {
-			continue
-		}
-		usual, spare := c.others(z, i)
-		pooled := all >= healthTries && bad > (healthBad+usual)*all && f >= healthBad*t
-		alone := t >= healthTries && f > (healthBad+usual)*t
-		if !pooled && !alone || !spare {
+		f, most := c.bad[i][z], healthBad+c.gate.norm
+		pooled := all >= healthTries && bad > most*all && f >= healthBad*t
+		alone := t >= healthTries && f > most*t
+		if c.bench[i][z] > c.now || !pooled && !alone || !c.spare(z, i) {
 			continue
 		}
 		c.bench[i][z] = c.now + min(benchLeast*math.Exp2(float64(c.fouls[i][z])), 4*benchLeast)
@@ -230,46 +217,43 @@
 		c.deaf[i]++
 		c.probe[i] = c.now
 	}
-	if alone := c.alike(); alone != c.alone {
-		c.alone = alone
-		c.post(c.ring, redo{})
-	}
-	if was != c.away(i) {
+	alone := c.alone
+	c.alone = c.open(func(k int) float64 { return 1 - 2*min(1, float64(c.deaf[k]/2)) }) <= 0
+	if was != c.away(i) || alone != c.alone {
 		c.post(c.ring, redo{})
 	}
 }
 
-// frail tells whether cold servers must stay out of the arcs. In a jam proxies that strike, or pick the less
+// frail is the ease that a cold server needs to be in the arcs. In a jam proxies that strike, or pick the less
 // busy, flee from all that push back to a cold server beside them, whatever its weight: it stays out until it
-// can take that.
-func (c *Planner) frail() bool {
-	g := c.gate
-	if g.calm || c.boot.Num("strikes", 0) <= 0 {
-		return false
-	}
-	isCold := func(i int) float64 { return c.weight[i] * math.Ceil(1-c.ease[i]) }
-	flee := sum(g.came) * c.open(isCold) / c.open(c.full)
-	able := g.best * c.open(func(i int) float64 { return isCold(i) * c.ease[i] })
+// can take that. Each by its own warmth: in a long release the coldest must not keep out those half warm.
+// Where a line sees so few RPCs that proxies can't strike before sums tell, and sums tell of few servers where
+// they would, nothing flees, and a release would only drown behind those that wait.
+func (c *Planner) frail(line float64) float64 {
+	g, strikes := c.gate, c.boot.Num("strikes", 0)
+	slow := max(line, sum(g.came)/c.ring.lines)*gateSpan < strikes && g.struck < struckMost
+	if g.calm || strikes <= 0 || slow {
+		return 0
+	}
+	if g.first == 0 || c.now <= g.first+gateSpan {
+		return 1 // a start of ours knows nothing of a jam yet
+	}
+	part := 1 / c.open(c.full)
 	if c.boot.Word("pick") == "pair" {
-		flee *= 2 // who has nothing out is picked whenever drawn
+		part *= 2 // who has nothing out is picked whenever drawn
 	}
-	told := g.first > 0 && c.now > g.first+gateSpan // a start of ours knows nothing of a jam yet
-	return !told || min(flee, sum(g.came)) > coldStrain*c.boot.Num("fall_multiple", 3)*able
+	part = min(part, 1/max(1e-9, c.open(func(i int) float64 { return c.weight[i] * math.Ceil(1-c.ease[i]) })))
+	return sum(g.came) * part / (coldStrain * c.boot.Num("fall_multiple", 3) * max(g.best, 1e-9))
 }
 
 // fit tells whether health lets a zone's arcs take a server.
 func (r *ring) fit(i, zone int) bool {
-	return r.c.bench[i][zone] <= r.c.now && !r.c.away(i) && !(r.frail && r.c.ease[i] < 1)
+	return r.c.bench[i][zone] <= r.c.now && !r.c.away(i) && r.c.ease[i] >= min(r.frail, 1)
 }
 
 // away tells whether a server has been deaf to two probes, and most others have not.
 func (c *Planner) away(i int) bool { return c.deaf[i] >= 2 && !c.alone }
 
-// alike tells whether most servers seem deaf: then it is we who are cut off.
-func (c *Planner) alike() bool {
-	return c.open(func(k int) float64 { return 1 - 2*min(1, float64(c.deaf[k]/2)) }) <= 0
-}
-
 // lean lowers the part of the usage that arcs bring a server whose answers take too long while most do
 // not: one that is slower than listed, or stalls. Its weight stays as listed; fewer arcs take it. It
 // comes back in small steps.
@@ -291,25 +275,16 @@
 	}
 }
 
-// others gives the share of bad tries from a zone at all servers but one, and whether that one can be
-// spared: health never takes most of the fleet.
-func (c *Planner) others(z, one int) (usual float64, spare bool) {
-	all, bad, open, out := 1.0, 0.0, 0.0, c.weight[one]
-	for i := range c.id {
-		benched := c.bench[i][z] > c.now
-		if c.state[i] == Open {
-			open += c.weight[i]
-		}
-		switch {
-		case i == one:
-		case !benched:
-			all, bad = all+c.tries[i][z], bad+c.bad[i][z]
-		case c.state[i] == Open:
-			out += c.weight[i]
-		}
-	}
-	// What is left must not have to carry much more than servers have been seen to: no benching in a jam.
-	return bad / all, out <= benchPart*open && sum(c.gate.came) <= benchStrain*c.gate.best*(open-out)
+// spare tells whether health may bench one server more: what is left must not have to carry much more than
+// servers have been seen to, so none is benched in a jam. What other planners' proxies send is taken to stay.
+func (c *Planner) spare(z, one int) bool {
+	open := c.open(c.full)
+	out := c.weight[one] + c.open(func(i int) float64 {
+		return c.weight[i] * max(0, min(1, math.Ceil(c.bench[i][z]-c.now)))
+	})
+	ours := float64(c.ring.joined) / max(c.boot.Num("proxies", 1), float64(c.ring.joined), 1)
+	strain := ours*open/max(open-out, 1e-9) + 1 - ours
+	return out <= benchPart*open && sum(c.gate.came)*strain <= benchStrain*c.gate.best*open
 }
 
 func (r *ring) take(n note) {
@@ -336,12 +311,8 @@
 func (r *ring) path(w *walk) iter.Seq[int] {
 	return func(yield func(int) bool) {
 		for k, turn := range [][]int{r.near[w.p.zone], r.order} {
-			at, _ := slices.BinarySearchFunc(turn, w.p.start, func(i int, h uint32) int {
-				return cmp.Compare(r.c.hash[i], h)
-			})
-			for j := range turn {
-				i := turn[(at+j)%len(turn)]
-				if near := r.c.zone[i] == w.p.zone; (k == 1) != near && !(w.s.near && !near) && !yield(i) {
+			for i := range r.from(turn, w.p.start) {
+				if near := r.c.zone[i] == w.p.zone; (k == 1) != near && (near || !w.s.near) && !yield(i) {
 					return
 				}
 			}
@@ -377,22 +348,18 @@
 	if len(turn) == 0 {
 		turn = r.order
 	}
-	at := 0
-	for k, i := range turn {
-		if c.rich(i) < c.rich(turn[at]) {
-			at = k
+	least := slices.MinFunc(turn, func(a, b int) int { return cmp.Compare(c.rich(a), c.rich(b)) })
+	p.start, p.settled = c.hash[least], true
+	for i := range r.from(turn, p.start) {
+		if n--; n >= 0 {
+			c.carry[i] += w.per * c.weight[i] * c.ease[i]
 		}
 	}
-	p.start, p.settled = c.hash[turn[at]], true
-	for k := range min(int(n), len(turn)) {
-		i := turn[(at+k)%len(turn)]
-		c.carry[i] += w.per * c.weight[i] * c.ease[i]
-	}
 }
 
 func (r *ring) deal() {
 	c := r.c
-	r.dirty, r.sized, r.frail = false, c.now, c.frail()
+	r.dirty, r.sized = false, c.now
 	r.order = c.hashed(func(i int) bool { return c.state[i] == Open })
 	r.near = make([][]int, len(c.zones))
 	asks, mean := 1e-9, c.open(c.full)/float64(len(r.order))
@@ -401,30 +368,29 @@
 	c.part = make([]float64, len(c.id))
 	for _, i := range r.order {
 		r.near[c.zone[i]] = append(r.near[c.zone[i]], i)
-		if c.part[i] = c.weight[i] * c.ease[i] * c.trust[i]; c.ease[i] < 1 {
-			c.part[i] = c.weight[i] * c.ease[i] * min(trust, c.trust[i])
-		}
+		c.part[i] = c.weight[i] * c.ease[i] * min(c.trust[i], trust+math.Floor(c.ease[i]))
 		if !c.away(i) {
 			room += c.part[i]
 		}
 	}
 	var walks []*walk
-	here := 0.0
+	r.joined = 0
 	for _, p := range c.proxies {
 		if p.joined {
-			here++
+			r.joined++
 			asks += p.rate()
 			for _, s := range p.sheets {
 				walks = append(walks, &walk{p: p, s: s})
 			}
 		}
 	}
-	lines := max(coverage*float64(len(r.order)), arcMean*float64(len(walks)))
+	r.lines = max(1, coverage*float64(len(r.order)), arcMean*float64(len(walks)))
+	r.frail = c.frail(asks / r.lines)
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
 	// The proxies of other coordinators are taken to bring the servers their even part.
-	bound := asks * (1 + (c.gate.fair-1)*max(1, c.boot.Num("proxies", 1)/max(here, 1))) / room
+	bound := asks * (1 + (c.gate.fair-1)*max(1, c.boot.Num("proxies", 1)/max(float64(r.joined), 1))) / room
 	for _, w := range walks {
-		n := float64(w.p.resize(lines/asks, len(r.order)))
+		n := float64(w.p.resize(r.lines/asks, len(r.order)))
 		w.fill, w.least, w.per = n*mean, min(n, arcLeast), w.p.held/n/mean
 		if !w.p.settled && len(r.order) > 0 {
 			r.settle(w, n)
@@ -626,29 +592,6 @@
 	return fits && (!p.bound || p.due > 0 || h.few(p))
 }
 
-// seal closes the step: one mark for all its messages.
-func (c *Planner) seal() {
-	h := c.channel
-	lines, ahead, next := 0, h.lines(), (h.mark+1)%MarkSpan
-	for _, p := range c.proxies {
-		if p.due == 0 {
-			continue
-		}
-		lines += p.due + int(c.boot.Num("message_lines", 10)) + 1
-		p.sent = append(p.sent, c.now)
-		if p.clocked {
-			p.flying, p.mark, p.version = true, next, p.version+1
-			p.left = c.now + 4*float64(ahead+lines)/c.boot.Num("channel_pace", 1e4)
-		}
-		p.due, p.clocked = 0, false
-	}
-	if lines > 0 {
-		h.mark = next
-		h.ledger = append(h.ledger, load{next, c.now, lines})
-		c.out = append(c.out, SetMark{next, false})
-	}
-}
-
 // free is when a method's RPCs are tried again while there is no jam. After proof only, idempotent ones
 // too: a second send after a mere time-out feeds the jam that it came from.
 func (c *Planner) free(at string) Tries {
@@ -688,7 +631,7 @@
 // fares best with it, as a cut between zones is no jam.
 func (g *gate) look() {
 	c := g.c
-	jam, all, good, slow, crowded := 0.0, 0.0, 0.0, 0.0, 0.0
+	jam, all, good, slow, crowded, met, struck := 0.0, 0.0, 0.0, 0.0, 0.0, 1.0, 0.0
 	// Servers push back when their queues are full, and then what they answer has waited. Bad tries beside
 	// quick answers are something else: a group that fails, or fails us alone; letting in less would not help.
 	// It harms where servers push back early, before their queues cost half a soft deadline.
@@ -702,6 +645,7 @@
 			rate := (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan
 			slow, good = slow+rate*c.delay[i][z]/g.soft, good+rate
 			if t := c.tries[i][z]; t >= healthTries/2 && fade > 0.2 {
+				met, struck = met+t, struck+t*math.Pow(c.bad[i][z]/t, c.boot.Num("strikes", 0))
 				best = min(best, max(crowded*c.bad[i][z]/t/jamBad, c.delay[i][z]/g.soft/jamDelay))
 			}
 		}
@@ -710,8 +654,13 @@
 			jam += math.Ceil(min(1, max(0, best-1)))
 		}
 	}
+	g.norm = 1
+	for z := range len(c.zones) {
+		shares := c.shares(z, healthTries/2, c.now-2*healthSpan)
+		g.norm = min(g.norm, shares[len(shares)/4])
+	}
 	room := c.room()
-	g.slow = slow / max(good, 1e-9)
+	g.slow, g.struck = slow/max(good, 1e-9), struck/met
 	g.fair += 0.2 * (fairLeast + (fairMost-fairLeast)*min(1, max(0, 2-4*g.slow)) - g.fair)
 	g.rate += 0.3 * (good/room - g.rate)
 	g.best = max(g.best, g.rate)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -245,7 +245,7 @@
 func (w *world) settle() {
 	for range 40 {
 		var all []Event
-		for p := range Proxy(12) {
+		for p := range Proxy(len(w.joined)) {
 			if q := w.unacked[p]; len(q) > 0 {
 				all = append(all, Answered{p, q[0], 0.2})
 			}
@@ -528,6 +528,44 @@
 	}
 }
 
+// Where a line sees few RPCs, a cold server comes in at once, against a release that drowns behind its own; not
+// so where sums tell of many servers that proxies would strike, for then they flee all the same.
+func TestColdServerComesInWhereNothingFlees(t *testing.T) {
+	for _, share := range []float64{0, 1} {
+		w := newWorld(t, map[string]any{"strikes": 50.0})
+		w.step(0, full(8, 0))
+		w.join(6)
+		w.feed(8, 0.1, map[EP]float64{1077: share, 1154: share, 1231: share, 1308: share}, nil)
+		w.step(1)
+		if w.restart(); (w.lines(1000) == 0) != (share == 1) {
+			t.Fatalf("share %v: %d lines", share, w.lines(1000))
+		}
+	}
+}
+
+// One server's change touches its own arcs and few others, however many there are.
+func TestOneServerTouchesFewTables(t *testing.T) {
+	w := newWorld(t, map[string]any{"proxies": 60.0, "channel_room": 1e6})
+	w.step(0, full(100, 0))
+	w.join(60)
+	w.settle()
+	for _, state := range []State{Draining, Open} {
+		e := full(100, 0).Entries[7]
+		e.State = state
+		touched, had := map[Proxy]bool{}, w.lines(e.EP)
+		w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{e}})
+		for range 8 {
+			for p := range w.messages {
+				touched[p] = true
+			}
+			w.step(0.3)
+		}
+		if len(touched) > 12 {
+			t.Fatalf("%d tables changed for a server that %d had", len(touched), had)
+		}
+	}
+}
+
 // Streams that break mean a cut or a crash before any sum tells: that is no calm either.
 func TestBrokenStreamsEndCalm(t *testing.T) {
 	w := newWorld(t, nil)
--- a/choice/state.go
+++ b/choice/state.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"iter"
 	"math"
 	"slices"
 )
@@ -113,6 +114,21 @@
 	tried int     // failures in a row
 }
 
+// spread posts a list to the actors of its servers, and to those that a whole list no longer names.
+func (c *Planner) spread(n Listed) {
+	listed := map[int]bool{}
+	for _, e := range n.Entries {
+		i := c.backend(e.EP)
+		listed[i] = true
+		c.post(c.eps[i], e)
+	}
+	for i, e := range c.eps {
+		if n.Kind != ListDelta && !listed[i] && c.state[i] != Gone {
+			c.post(e, Entry{EP: c.id[i], State: Gone, Start: c.start[i]})
+		}
+	}
+}
+
 // backend is the actor of one server.
 type backend struct {
 	box
@@ -154,13 +170,27 @@
 // ring deals the arcs.
 type ring struct {
 	box
-	c     *Planner
-	dirty bool
-	frail bool // cold servers stay out of the arcs now being dealt
-	sized Seconds
-	order []int   // the open servers, in the order of the ring
-	near  [][]int // those of each zone
-	took  []*walk // the last arc that took each server in this deal
+	c      *Planner
+	dirty  bool
+	frail  float64 // ease that the arcs now being dealt ask of a server
+	sized  Seconds
+	joined int
+	lines  float64 // that the arcs are to have together
+	order  []int   // the open servers, in the order of the ring
+	near   [][]int // those of each zone
+	took   []*walk // the last arc that took each server in this deal
+}
+
+// from goes once round part of the ring, from a place on it.
+func (r *ring) from(turn []int, place uint32) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		at, _ := slices.BinarySearchFunc(turn, place, func(i int, h uint32) int { return cmp.Compare(r.c.hash[i], h) })
+		for k := range turn {
+			if !yield(turn[(at+k)%len(turn)]) {
+				return
+			}
+		}
+	}
 }
 
 // walk is the way one arc takes.
@@ -312,6 +342,29 @@
 	return sum
 }
 
+// seal closes the step: one mark for all its messages.
+func (c *Planner) seal() {
+	h := c.channel
+	lines, ahead, next := 0, h.lines(), (h.mark+1)%MarkSpan
+	for _, p := range c.proxies {
+		if p.due == 0 {
+			continue
+		}
+		lines += p.due + int(c.boot.Num("message_lines", 10)) + 1
+		p.sent = append(p.sent, c.now)
+		if p.clocked {
+			p.flying, p.mark, p.version = true, next, p.version+1
+			p.left = c.now + leaving*float64(ahead+lines)/c.boot.Num("channel_pace", 1e4)
+		}
+		p.due, p.clocked = 0, false
+	}
+	if lines > 0 {
+		h.mark = next
+		h.ledger = append(h.ledger, load{next, c.now, lines})
+		c.out = append(c.out, SetMark{next, false})
+	}
+}
+
 // gate decides what is let in and when proxies try again.
 type gate struct {
 	box
@@ -325,6 +378,8 @@
 	rate        float64   // answers a second for each weight
 	best        float64   // answers a second for each weight, the best so far
 	slow        float64   // mean time of answers, in soft deadlines
+	struck      float64   // share of tries at servers that fail as many in a row as proxies bear
+	norm        float64   // share of bad tries at the best quarter of the servers, from the zone that fares best
 	fair        float64   // of its part, what arcs may bring a server
 	jammed      bool
 	calm        bool    // no jam, and none near
@@ -389,6 +444,21 @@
 	c.bad[i][z] = c.bad[i][z]*keep + float64(n.Bad)
 }
 
+// shares gives the shares of bad tries from a zone, in order, of the servers with so many tries since a time.
+func (c *Planner) shares(z int, tries float64, since Seconds) []float64 {
+	all := []float64{}
+	for i, t := range c.tries {
+		if t[z] >= tries && c.last[i][z] > since {
+			all = append(all, c.bad[i][z]/t[z])
+		}
+	}
+	if len(all) == 0 {
+		return []float64{0}
+	}
+	slices.Sort(all)
+	return all
+}
+
 // answers gives how many good answers of a server were heard of since a time, and their mean delay.
 func (c *Planner) answers(i int, since Seconds) (good float64, mean Seconds) {
 	for z, t := range c.tries[i] {
