--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	leaving      = 4.0  // times what the lines ahead need, after which a push has left the channel
 	silence      = 4.0  // usual answer times without an answer that bring a full resend
 	healthSpan   = 3.0  // seconds over which tries are averaged for health
+	delayOld     = 0.4  // of their number, what older answers count for in the mean time
 	healthTries  = 4.0  // tries that a judgement needs
 	healthBad    = 0.3  // share of bad tries, beyond the fleet's, that benches a server
 	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
@@ -115,7 +116,7 @@
 	case Entry:
 		b.listed(n)
 	case TrySum:
-		if c.met(i, n, healthSpan); n.Tries > n.Bad && !c.away(i) {
+		if c.met(i, n, healthSpan, delayOld); n.Tries > n.Bad && !c.away(i) {
 			c.deaf[i] = 0 // a deep probe waits in the queue of a jam; RPCs that are answered tell better
 		}
 		b.judge()
@@ -228,10 +229,10 @@
 // busy, flee from all that push back to a cold server beside them, whatever its weight: it stays out until it
 // can take that. Each by its own warmth: in a long release the coldest must not keep out those half warm.
 // Where a line sees so few RPCs that proxies can't strike before sums tell, and sums tell of few servers where
-// they would, nothing flees, and a release would only drown behind those that wait.
+// they would, nothing flees before a jam, and a release would only drown behind those that wait.
 func (c *Planner) frail(line float64) float64 {
 	g, strikes := c.gate, c.boot.Num("strikes", 0)
-	slow := max(line, sum(g.came)/c.ring.lines)*gateSpan < strikes && g.struck < struckMost
+	slow := max(line, sum(g.came)/c.ring.lines)*gateSpan < strikes && g.struck < struckMost && !g.jammed
 	if g.calm || strikes <= 0 || slow {
 		return 0
 	}
@@ -676,7 +677,7 @@
 		}
 	default:
 		g.jammed = g.jammed && c.now < g.since+gateSpan
-		g.limit *= 1.05 + 0.2*max(0, 1-2*jam/all/jamPart)
+		g.limit *= 1.1 + 0.3*max(0, 1-2*jam/all/jamPart)
 	}
 	g.first = cmp.Or(g.first, c.now)
 	// A jam may be near before sums tell: streams broke, answers slow down, the list took much of the room.
--- a/choice/state.go
+++ b/choice/state.go
@@ -430,13 +430,13 @@
 	return lines
 }
 
-// met adds a sum to the faded sums of its pair.
-func (c *Planner) met(i int, n TrySum, span Seconds) {
+// met adds a sum to the faded sums of its pair; the old mean time counts for a part of its tries.
+func (c *Planner) met(i int, n TrySum, span Seconds, old float64) {
 	z := c.place(n.Zone)
 	keep := math.Exp(-(c.now - c.last[i][z]) / span)
 	c.last[i][z], c.heard = c.now, c.now
 	good := float64(n.Tries - n.Bad)
-	if have := (c.tries[i][z] - c.bad[i][z]) * keep; good > 0 {
+	if have := (c.tries[i][z] - c.bad[i][z]) * keep * old; good > 0 {
 		c.delay[i][z] = (c.delay[i][z]*have + n.Delay*good) / (have + good)
 		c.good[i] = c.now
 	}
