--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,6 +39,7 @@
 	leanLeast    = 0.4  // of its part, what leaning leaves a server
 	jamBad       = 0.15 // share of bad tries in a server's own best zone that counts as a jam
 	jamDelay     = 0.5  // or a mean time of this much of the shortest soft deadline
+	burst        = 1.0  // roots of its usage, by which a proxy's rate may lie above its mean
 	limitLeast   = 0.8  // of the best rate of answers seen
 	coldStrain   = 0.6  // of what topples a cold server, what may flee to it in a jam
 	struckMost   = 0.1  // share of tries at servers where a proxy would strike, above which they may flee
@@ -130,10 +131,11 @@
 		for z, until := range c.bench[i] {
 			if until > 0 && until <= c.now {
 				// Sums of the time before the bench must not bench it again.
-				c.bench[i][z], c.tries[i][z], c.bad[i][z] = 0, 0, 0
+				c.bench[i][z], c.tries[i][z], c.bad[i][z] = -until, 0, 0
 				c.post(c.ring, redo{})
-			} else if c.tries[i][z] >= healthTries && c.bad[i][z] < 0.1*c.tries[i][z] {
-				c.fouls[i][z] = 0
+			} else if until < 0 && c.now > 4*benchLeast-until {
+				// A quiet time, not one good turn: it may fail by turns, and is away longer each time.
+				c.bench[i][z], c.fouls[i][z] = 0, 0
 			}
 		}
 		b.lean()
@@ -520,7 +522,9 @@
 		return p.share[m]
 	}
 	// Kept as it was while it differs little: each change is a line.
-	want, was := p.share[m]*max(p.usage[m], 0.1), p.sheets[0].level[m]
+	// A proxy with little usage sees bursts that its mean rate would refuse beside a level meant for the mean.
+	u := max(p.usage[m], 0.1)
+	want, was := p.share[m]*(u+burst*math.Sqrt(u)), p.sheets[0].level[m]
 	if math.Abs(was-want) < 0.15*want {
 		return was
 	}
@@ -534,12 +538,9 @@
 	for _, since := range c.owed {
 		oldest = min(oldest, cmp.Or(since, oldest))
 	}
-	if math.IsInf(oldest, 1) {
-		return
-	}
 	hold := max(0, c.boot.Num("drain_grace", 1)-c.boot.Num("push_time_worst", 0.4)-3*c.channel.usual) / 2
 	crowded := func(p *proxy) bool { return p.joined && !c.channel.few(p) }
-	if c.now < oldest+hold && slices.ContainsFunc(c.proxies, crowded) {
+	if math.IsInf(oldest, 1) || c.now < oldest+hold && slices.ContainsFunc(c.proxies, crowded) {
 		return
 	}
 	for i, since := range c.owed {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -566,6 +566,39 @@
 	}
 }
 
+// A server that fails by turns is away longer after each turn, though it answers well between them.
+func TestFailingByTurnsIsBenchedLonger(t *testing.T) {
+	w := newWorld(t, nil)
+	w.step(0, full(8, 0))
+	w.join(4)
+	for turn := range 3 {
+		for range 3 {
+			w.feed(8, 0.1, nil, nil)
+		}
+		for w.c.bench[0][0] <= w.now {
+			w.feed(8, 0.1, map[EP]float64{1000: 1}, nil)
+		}
+		if left := w.c.bench[0][0] - w.now; left < benchLeast*float64(int(1)<<turn)-1 {
+			t.Fatalf("turn %d: away for %.1f s", turn, left)
+		}
+		for w.c.bench[0][0] > w.now {
+			w.step(0.5)
+		}
+	}
+}
+
+// A rate for a proxy with little usage leaves room for its bursts.
+func TestRatesLeaveRoomForBursts(t *testing.T) {
+	w := newWorld(t, map[string]any{"level_kind": "rate"})
+	w.step(0, full(8, 0))
+	w.join(1)
+	p := w.c.proxies[0]
+	p.share, p.usage = []float64{0.5, 0.5, 1}, []float64{1, 100, 1}
+	if p.level(0) < 0.8 || p.level(1) > 60 || p.level(2) != 1 {
+		t.Fatalf("levels %v %v %v", p.level(0), p.level(1), p.level(2))
+	}
+}
+
 // Streams that break mean a cut or a crash before any sum tells: that is no calm either.
 func TestBrokenStreamsEndCalm(t *testing.T) {
 	w := newWorld(t, nil)
