--- a/choice/choice.go
+++ b/choice/choice.go
@@ -207,7 +207,7 @@
 // cold one does, as it may have restarted. When most seem deaf, it is we who are cut off.
 func (b *backend) probed(n Probed) {
 	c, i := b.c, b.i
-	was := c.away(i)
+	was, alone := c.away(i), c.alone
 	switch {
 	case n.OK:
 		if c.good[i] = c.now; was {
@@ -219,7 +219,6 @@
 		c.deaf[i]++
 		c.probe[i] = c.now
 	}
-	alone := c.alone
 	c.alone = c.open(func(k int) float64 { return 1 - 2*min(1, float64(c.deaf[k]/2)) }) <= 0
 	if was != c.away(i) || alone != c.alone {
 		c.post(c.ring, redo{})
@@ -343,8 +342,8 @@
 	}
 }
 
-// settle gives a proxy that is new its start, which it keeps: where the last deal left the ring least used.
-// So starts are dealt evenly, yet an arc moves for its own reasons or its servers' only.
+// settle gives a proxy its start, which it keeps: where the last deal left the ring least used. So starts are
+// dealt evenly, yet an arc moves for its own reasons or its servers' only.
 func (r *ring) settle(w *walk, n float64) {
 	c, p, turn := r.c, w.p, r.near[w.p.zone]
 	if len(turn) == 0 {
@@ -391,15 +390,17 @@
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
 	// The proxies of other coordinators are taken to bring the servers their even part.
 	bound := asks * (1 + (c.gate.fair-1)*max(1, c.boot.Num("proxies", 1)/max(float64(r.joined), 1))) / room
+	if c.gate.first == 0 { // before any sum proxies still join one by one: end to end, the busiest first, lies evenest
+		c.carry = make([]float64, len(c.id))
+	}
 	for _, w := range walks {
 		n := float64(w.p.resize(r.lines/asks, len(r.order)))
 		w.fill, w.least, w.per = n*mean, min(n, arcLeast), w.p.held/n/mean
-		if !w.p.settled && len(r.order) > 0 {
+		if (!w.p.settled || c.gate.first == 0) && len(r.order) > 0 {
 			r.settle(w, n)
 		}
 	}
-	c.carry, c.cover = make([]float64, len(c.id)), make([]int, len(c.id))
-	r.took = make([]*walk, len(c.id))
+	c.carry, c.cover, r.took = make([]float64, len(c.id)), make([]int, len(c.id)), make([]*walk, len(c.id))
 	for _, w := range walks {
 		// When all have their part, the bound gives way by small steps, so that what is too much lies even.
 		for limit := bound; limit == bound || w.fill > 0 && limit < 16*bound; limit *= 1.09 {
@@ -414,7 +415,7 @@
 	}
 	// What the arcs leave out goes to those that would reach it soonest.
 	for _, i := range r.order {
-		for c.cover[i] < coverage {
+		for range max(0, coverage-c.cover[i]) {
 			var best *walk
 			soonest := uint64(math.MaxUint64)
 			for _, w := range walks {
@@ -426,11 +427,10 @@
 					best, soonest = w, ahead
 				}
 			}
-			if best == nil {
-				break
+			if best != nil {
+				best.arc = append(best.arc, i)
+				c.cover[i]++
 			}
-			best.arc = append(best.arc, i)
-			c.cover[i]++
 		}
 	}
 	for _, w := range walks {
@@ -511,8 +511,8 @@
 	c := p.c
 	usable := func(l line) bool { return !c.shut[l.ep] }
 	cold := func(l line) bool { return c.ease[l.ep] < 1 && l.w > 1.3*c.ease[l.ep]*c.weight[l.ep] }
-	bare := !slices.ContainsFunc(s.told, usable) && slices.ContainsFunc(s.want, usable)
-	return p.bound && (bare || slices.ContainsFunc(s.told, cold))
+	return p.bound && (slices.ContainsFunc(s.told, cold) ||
+		!slices.ContainsFunc(s.told, usable) && slices.ContainsFunc(s.want, usable))
 }
 
 // level is what a table lets in of a method, in the unit that the proxies go by.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -548,6 +548,7 @@
 	w := newWorld(t, map[string]any{"proxies": 60.0, "channel_room": 1e6})
 	w.step(0, full(100, 0))
 	w.join(60)
+	w.feed(8, 0.1, nil, nil) // before any sum the starts are dealt anew with each join
 	w.settle()
 	for _, state := range []State{Draining, Open} {
 		e := full(100, 0).Entries[7]
