--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -20,6 +20,9 @@
 			for _, p := range c.proxies {
 				all = append(all, Answered{p.id, p.mark, 0.2})
 			}
+			for _, id := range c.id {
+				all = append(all, TrySum{EP: id, Zone: "a", Tries: 3, Delay: 0.2, Over: 1})
+			}
 			c.Step(now, all)
 		}
 		b.Run(fmt.Sprintf("deal/%d-%d", size[0], size[1]), func(b *testing.B) {
