--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -723,3 +723,35 @@
 		}
 	})
 }
+
+// Odd sites: an empty list, one server, a list that doubles at once, one zone, one proxy; and ten times the size.
+func TestOddSites(t *testing.T) {
+	w := newWorld(t, map[string]any{"zones.n": 1.0})
+	w.step(0, Listed{Kind: ListFull})
+	w.join(1)
+	for _, n := range []int{1, 8, 16, 1, 0, 4} {
+		l := full(n, 0)
+		for k := range l.Entries {
+			l.Entries[k].Zone = "a"
+		}
+		w.step(1, l)
+		if w.settle(); n > 0 && !w.usable(0) {
+			t.Fatalf("no line with %d servers", n)
+		}
+	}
+	c := New(Bootstrap{Seed: 7, Now: 100, Values: values(map[string]any{"channel_room": 1e9})})
+	c.Step(100, []Event{full(3500, 0)})
+	var all []Event
+	for p := range 2700 {
+		all = append(all, Joined{Proxy(p), Zone("ab"[p%2 : p%2+1]), float64(1 + p%7), true})
+	}
+	if out := c.Step(101, all); count[BindTable](out) != 2700 {
+		t.Fatalf("%d of 2700 proxies were bound", count[BindTable](out))
+	}
+	c.Step(102, []Event{Listed{Kind: ListDelta, Entries: []Entry{{EP: 1000, State: Draining, Zone: "a", Weight: 2}}}})
+	for i, n := range c.cover {
+		if c.state[i] == Open && n < coverage {
+			t.Fatalf("server %d lies in %d arcs", i, n)
+		}
+	}
+}
