Arcs leave a zone that is asked for more by all planners: the bound widens by the root of their number only

With four coordinators each let its servers be asked for up to three times their part, taking the others' to lie evenly; but all see the same zone full.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -388,8 +388,8 @@
 	r.lines = max(1, coverage*float64(len(r.order)), arcMean*float64(len(walks)))
 	r.frail = c.frail(asks / r.lines)
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
-	// The proxies of other coordinators are taken to bring the servers their even part.
-	bound := asks * (1 + (c.gate.fair-1)*max(1, c.boot.Num("proxies", 1)/max(float64(r.joined), 1))) / room
+	// The lumps of other planners' arcs add to ours by the root; a zone that is asked for more is so for all of them.
+	bound := asks * (1 + (c.gate.fair-1)*math.Sqrt(max(1, c.boot.Num("proxies", 1)/max(float64(r.joined), 1)))) / room
 	if c.gate.first == 0 { // before any sum proxies still join one by one: end to end, the busiest first, lies evenest
 		c.carry = make([]float64, len(c.id))
 	}
