--- a/choice/choice.go
+++ b/choice/choice.go
@@ -183,9 +183,9 @@
 }
 
 // judge benches a server that does badly while others do not: one that aborts, hangs, or can't be reached,
-// for all zones or for the one from which it does. It is measured by the best quarter, seen from the zone that
-// fares best, so that a group that fails, even most of the fleet, or fails us alone, is found; in a jam the
-// best push back as well. It harms a good server that has bad luck with few tries.
+// for all zones or for the one from which it does. It is measured by the best quarter, seen from the zone
+// that fares best, so that a group that fails, even most of the fleet, or fails us alone, is found; in a
+// jam the best push back as well. It harms a good server that has bad luck with few tries.
 func (b *backend) judge() {
 	c, i := b.c, b.i
 	all, bad := sum(c.tries[i]), sum(c.bad[i])
@@ -225,11 +225,11 @@
 	}
 }
 
-// frail is the ease that a cold server needs to be in the arcs. In a jam proxies that strike, or pick the less
-// busy, flee from all that push back to a cold server beside them, whatever its weight: it stays out until it
-// can take that. Each by its own warmth: in a long release the coldest must not keep out those half warm.
-// Where a line sees so few RPCs that proxies can't strike before sums tell, and sums tell of few servers where
-// they would, nothing flees before a jam, and a release would only drown behind those that wait.
+// frail is the ease that a cold server needs to be in the arcs. In a jam proxies that strike, or pick the
+// less busy, flee from all that push back to a cold server beside them, whatever its weight: it stays out
+// until it can take that. Each by its own warmth: in a release the coldest must not keep out those half warm.
+// Where a line sees so few RPCs that proxies can't strike before sums tell, and sums tell of few servers
+// where they would, nothing flees before a jam, and a release would only drown behind those that wait.
 func (c *Planner) frail(line float64) float64 {
 	g, strikes := c.gate, c.boot.Num("strikes", 0)
 	slow := max(line, sum(g.came)/c.ring.lines)*gateSpan < strikes && g.struck < struckMost && !g.jammed
@@ -283,7 +283,7 @@
 	out := c.weight[one] + c.open(func(i int) float64 {
 		return c.weight[i] * max(0, min(1, math.Ceil(c.bench[i][z]-c.now)))
 	})
-	ours := float64(c.ring.joined) / max(c.boot.Num("proxies", 1), float64(c.ring.joined), 1)
+	ours := c.ours()
 	strain := ours*open/max(open-out, 1e-9) + 1 - ours
 	return out <= benchPart*open && sum(c.gate.came)*strain <= benchStrain*c.gate.best*open
 }
@@ -388,9 +388,9 @@
 	r.lines = max(1, coverage*float64(len(r.order)), arcMean*float64(len(walks)))
 	r.frail = c.frail(asks / r.lines)
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
-	// The lumps of other planners' arcs add to ours by the root; a zone that is asked for more is so for all of them.
-	bound := asks * (1 + (c.gate.fair-1)*math.Sqrt(max(1, c.boot.Num("proxies", 1)/max(float64(r.joined), 1)))) / room
-	if c.gate.first == 0 { // before any sum proxies still join one by one: end to end, the busiest first, lies evenest
+	// The lumps of other planners' arcs add to ours by the root; a full zone is full for all of them.
+	bound := asks * (1 + (c.gate.fair-1)/math.Sqrt(min(1, max(c.ours(), 1e-3)))) / room
+	if c.gate.first == 0 { // until the first sums proxies join one by one; all anew lies evener
 		c.carry = make([]float64, len(c.id))
 	}
 	for _, w := range walks {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -755,3 +755,18 @@
 		}
 	}
 }
+
+// A zone that gets most of the RPCs spills into the others, also where other planners are taken to add their part.
+func TestAFullZoneSpills(t *testing.T) {
+	w := newWorld(t, map[string]any{"proxies": 48.0})
+	w.step(0, full(12, 0))
+	for p := range Proxy(12) {
+		w.step(0.02, Joined{p, "a", 10, true})
+	}
+	w.settle()
+	for i := range w.c.id {
+		if w.c.rich(i) > 2.1*120/24 { // 120 RPCs a second on a weight of 24
+			t.Fatalf("server %d is asked for %.1f for each weight", i, w.c.rich(i))
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -184,7 +184,8 @@
 // from goes once round part of the ring, from a place on it.
 func (r *ring) from(turn []int, place uint32) iter.Seq[int] {
 	return func(yield func(int) bool) {
-		at, _ := slices.BinarySearchFunc(turn, place, func(i int, h uint32) int { return cmp.Compare(r.c.hash[i], h) })
+		hash := func(i int, h uint32) int { return cmp.Compare(r.c.hash[i], h) }
+		at, _ := slices.BinarySearchFunc(turn, place, hash)
 		for k := range turn {
 			if !yield(turn[(at+k)%len(turn)]) {
 				return
@@ -529,4 +530,9 @@
 	return g
 }
 
+// ours is our part of all proxies.
+func (c *Planner) ours() float64 {
+	return float64(c.ring.joined) / max(c.boot.Num("proxies", 1), float64(c.ring.joined), 1)
+}
+
 func (c *Planner) full(i int) float64 { return c.weight[i] }
