--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -616,7 +616,7 @@
 
 // A cold server listed in a known jam, between two looks at it, must not come in with what was reckoned before it.
 func TestColdServerListedInAJamStaysOut(t *testing.T) {
-	w := newWorld(t, map[string]any{"strikes": 3.0})
+	w := newWorld(t, map[string]any{"strikes": 50.0 /* thin lines are no excuse in a jam */})
 	w.step(0, full(8, 0))
 	w.join(6)
 	for range 8 {
