--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -11,9 +11,7 @@
 		c := New(Bootstrap{Seed: 7, Now: 100, Values: values(nil)})
 		c.Step(100, []Event{full(size[0], 0)})
 		now := 100.0
-		for p := range size[1] {
-			c.Step(now, []Event{Joined{Proxy(p), Zone("ab"[p%2 : p%2+1]), float64(1 + p%7), true}})
-		}
+		c.Step(now, crowd(size[1]))
 		for now < 110 {
 			now += 0.1
 			var all []Event
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	healthSpan   = 3.0  // seconds over which tries are averaged for health
 	delayOld     = 0.4  // of their number, what older answers count for in the mean time
 	healthTries  = 4.0  // tries that a judgement needs
-	healthBad    = 0.3  // share of bad tries, beyond the fleet's, that benches a server
+	healthBad    = 0.3  // share of bad tries, beyond the best quarter's, that benches a server
 	benchLeast   = 5.0  // seconds on the bench the first time; doubled each time after
 	benchStrain  = 1.3  // of the best rate of answers seen, what health may ask of those left
 	benchPart    = 0.65 // most of a zone's view of the fleet that health may bench
@@ -361,7 +361,7 @@
 func (r *ring) deal() {
 	c := r.c
 	r.dirty, r.sized = false, c.now
-	r.order = c.hashed(func(i int) bool { return c.state[i] == Open })
+	r.order = c.hashed()
 	r.near = make([][]int, len(c.zones))
 	asks, mean := 1e-9, c.open(c.full)/float64(len(r.order))
 	// A cold server's part goes by the mean trust: it has had no time to lose any.
@@ -389,7 +389,7 @@
 	r.frail = c.frail(asks / r.lines)
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
 	// The lumps of other planners' arcs add to ours by the root; a full zone is full for all of them.
-	bound := asks * (1 + (c.gate.fair-1)/math.Sqrt(min(1, max(c.ours(), 1e-3)))) / room
+	bound := asks * (1 + (c.gate.fair-1)/math.Sqrt(max(c.ours(), 1e-3))) / room
 	if c.gate.first == 0 { // until the first sums proxies join one by one; all anew lies evener
 		c.carry = make([]float64, len(c.id))
 	}
@@ -520,11 +520,10 @@
 	if p.share[m] >= 1 || p.c.boot.Word("level_kind") != "rate" {
 		return p.share[m]
 	}
-	// Kept as it was while it differs little: each change is a line.
 	// A proxy with little usage sees bursts that its mean rate would refuse beside a level meant for the mean.
 	u := max(p.usage[m], 0.1)
 	want, was := p.share[m]*(u+burst*math.Sqrt(u)), p.sheets[0].level[m]
-	if math.Abs(was-want) < 0.15*want {
+	if math.Abs(was-want) < 0.15*want { // each change is a line
 		return was
 	}
 	return want
@@ -633,6 +632,7 @@
 func (g *gate) look() {
 	c := g.c
 	jam, all, good, slow, crowded, met, struck := 0.0, 0.0, 0.0, 0.0, 0.0, 1.0, 0.0
+	strikes := c.boot.Num("strikes", 0)
 	// Servers push back when their queues are full, and then what they answer has waited. Bad tries beside
 	// quick answers are something else: a group that fails, or fails us alone; letting in less would not help.
 	// It harms where servers push back early, before their queues cost half a soft deadline.
@@ -646,7 +646,7 @@
 			rate := (c.tries[i][z] - c.bad[i][z]) * fade / healthSpan
 			slow, good = slow+rate*c.delay[i][z]/g.soft, good+rate
 			if t := c.tries[i][z]; t >= healthTries/2 && fade > 0.2 {
-				met, struck = met+t, struck+t*math.Pow(c.bad[i][z]/t, c.boot.Num("strikes", 0))
+				met, struck = met+t, struck+t*math.Pow(c.bad[i][z]/t, strikes)
 				best = min(best, max(crowded*c.bad[i][z]/t/jamBad, c.delay[i][z]/g.soft/jamDelay))
 			}
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -230,17 +230,36 @@
 func full(n int, start Seconds) Listed {
 	l := Listed{Kind: ListFull}
 	for i := range n {
-		l.Entries = append(l.Entries, Entry{EP: EP(1000 + 77*i), State: Open, Start: start, Zone: Zone("ab"[i%2 : i%2+1]), Weight: 2})
+		l.Entries = append(l.Entries, Entry{EP: EP(1000 + 77*i), State: Open, Start: start, Zone: home(i), Weight: 2})
 	}
 	return l
 }
 
 func (w *world) join(proxies int) {
 	for p := range proxies {
-		w.step(0.02, Joined{Proxy(p), Zone("ab"[p%2 : p%2+1]), 10, true})
+		w.step(0.02, Joined{Proxy(p), home(p), 10, true})
 	}
 }
 
+// started is a world of some servers and proxies that have all joined.
+func started(t *testing.T, more map[string]any, servers, proxies int) *world {
+	w := newWorld(t, more)
+	w.step(0, full(servers, 0))
+	w.join(proxies)
+	return w
+}
+
+// home is the zone of a server or a proxy by its number.
+func home(n int) Zone { return Zone("ab"[n%2 : n%2+1]) }
+
+// crowd has many proxies of unlike usage join at once.
+func crowd(proxies int) (all []Event) {
+	for p := range proxies {
+		all = append(all, Joined{Proxy(p), home(p), float64(1 + p%7), true})
+	}
+	return all
+}
+
 // settle answers all that is unanswered, until nothing more comes.
 func (w *world) settle() {
 	for range 40 {
@@ -302,12 +321,8 @@
 
 // A list that changes all the time, or all proxies joining at once, stays inside the limits that step checks.
 func TestLimitsHold(t *testing.T) {
-	w := newWorld(t, map[string]any{"channel_room": 100.0})
-	w.step(0, full(8, 0))
-	w.join(6)
-	w = newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(6)
+	w := started(t, map[string]any{"channel_room": 100.0}, 8, 6)
+	w = started(t, nil, 8, 6)
 	for i := range 60 {
 		all := []Event{Listed{Kind: ListDelta, Entries: []Entry{{EP: EP(5 + i), State: Open, Zone: "a", Weight: 2}}}}
 		for p := range Proxy(6) {
@@ -342,9 +357,7 @@
 }
 
 func TestWithdrawalSkipsTheClockAndBringsReplacements(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(16, 0))
-	w.join(6)
+	w := started(t, nil, 16, 6)
 	w.settle()
 	w.step(0.1, Listed{Kind: ListDelta, Entries: []Entry{{EP: 9, State: Open, Zone: "a", Weight: 2}}})
 	l := Listed{Kind: ListDelta}
@@ -358,9 +371,7 @@
 
 // An empty list is obeyed, and costs one readmission a server when it proves wrong, not new tables.
 func TestEmptyListRecoversCheaply(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(4)
+	w := started(t, nil, 8, 4)
 	w.settle()
 	if out := w.step(0.1, Listed{Kind: ListFull}); count[Withdraw](out) != 8 {
 		t.Fatalf("an empty list gave %v", out)
@@ -372,9 +383,7 @@
 
 // A restart in place is cut back at once, by a push that does not wait for answers.
 func TestRestartInPlaceIsCutBack(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(4)
+	w := started(t, nil, 8, 4)
 	again := w.restart()
 	for table, lines := range w.tables {
 		if lines[again.EP] > 0.2*2+1e-9 {
@@ -412,9 +421,7 @@
 }
 
 func TestAbortingServerIsBenchedAndReturns(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(4)
+	w := started(t, nil, 8, 4)
 	w.settle()
 	w.feed(8, 0.1, nil, nil) // shows what the servers can carry
 	for range 4 {
@@ -433,9 +440,7 @@
 
 // Trouble of most servers together is a jam: nobody is benched, levels fall, the lowest criticality first.
 func TestJamShedsAndBenchesNobody(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(4)
+	w := started(t, nil, 8, 4)
 	bad := map[EP]float64{}
 	for i := range 8 {
 		bad[EP(1000+77*i)] = 0.6
@@ -462,9 +467,7 @@
 
 // Half of the servers failing beside quick answers of the rest is no overload: nothing is refused for it.
 func TestAGroupThatFailsIsNoJam(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(4)
+	w := started(t, nil, 8, 4)
 	bad := map[EP]float64{1000: 0.7, 1077: 0.7, 1154: 0.7, 1231: 0.7}
 	for range 10 {
 		w.feed(8, 0.1, bad, nil)
@@ -476,9 +479,7 @@
 
 // A server that answers neither RPCs nor probes leaves the arcs; silence alone does not move it.
 func TestDeafServerLeavesTheArcs(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(6)
+	w := started(t, nil, 8, 6)
 	w.settle()
 	probed := 0
 	for range 6 {
@@ -501,9 +502,7 @@
 
 // Arcs lean away from a server whose answers take long while the others' do not.
 func TestArcsLeanAwayFromASlowServer(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(6)
+	w := started(t, nil, 8, 6)
 	for range 20 {
 		w.feed(8, 0.1, nil, nil)
 		w.step(0.01, TrySum{EP: 1000, Zone: "a", Tries: 40, Delay: 0.9, Over: 1})
@@ -516,9 +515,7 @@
 // A cold server stays out of the arcs while a jam lasts, or while nothing tells that there is none: the proxies
 // would turn to it from all that push back.
 func TestColdServerWaitsForCalm(t *testing.T) {
-	w := newWorld(t, map[string]any{"strikes": 3.0})
-	w.step(0, full(8, 0))
-	w.join(6)
+	w := started(t, map[string]any{"strikes": 3.0}, 8, 6)
 	w.restart()
 	if w.step(0.5); w.lines(1000) > 0 {
 		t.Fatal("a cold server got lines before anything told of calm")
@@ -532,9 +529,7 @@
 // so where sums tell of many servers that proxies would strike, for then they flee all the same.
 func TestColdServerComesInWhereNothingFlees(t *testing.T) {
 	for _, share := range []float64{0, 1} {
-		w := newWorld(t, map[string]any{"strikes": 50.0})
-		w.step(0, full(8, 0))
-		w.join(6)
+		w := started(t, map[string]any{"strikes": 50.0}, 8, 6)
 		w.feed(8, 0.1, map[EP]float64{1077: share, 1154: share, 1231: share, 1308: share}, nil)
 		w.step(1)
 		if w.restart(); (w.lines(1000) == 0) != (share == 1) {
@@ -545,9 +540,7 @@
 
 // One server's change touches its own arcs and few others, however many there are.
 func TestOneServerTouchesFewTables(t *testing.T) {
-	w := newWorld(t, map[string]any{"proxies": 60.0, "channel_room": 1e6})
-	w.step(0, full(100, 0))
-	w.join(60)
+	w := started(t, map[string]any{"proxies": 60.0, "channel_room": 1e6}, 100, 60)
 	w.feed(8, 0.1, nil, nil) // before any sum the starts are dealt anew with each join
 	w.settle()
 	for _, state := range []State{Draining, Open} {
@@ -589,9 +582,7 @@
 
 // A rate for a proxy with little usage leaves room for its bursts.
 func TestRatesLeaveRoomForBursts(t *testing.T) {
-	w := newWorld(t, map[string]any{"level_kind": "rate"})
-	w.step(0, full(8, 0))
-	w.join(1)
+	w := started(t, map[string]any{"level_kind": "rate"}, 8, 1)
 	p := w.c.proxies[0]
 	p.share, p.usage = []float64{0.5, 0.5, 1}, []float64{1, 100, 1}
 	if p.level(0) < 0.8 || p.level(1) > 60 || p.level(2) != 1 {
@@ -601,9 +592,7 @@
 
 // Streams that break mean a cut or a crash before any sum tells: that is no calm either.
 func TestBrokenStreamsEndCalm(t *testing.T) {
-	w := newWorld(t, nil)
-	w.step(0, full(8, 0))
-	w.join(2)
+	w := started(t, nil, 8, 2)
 	for range 12 {
 		w.feed(8, 0.1, nil, nil)
 	}
@@ -616,9 +605,7 @@
 
 // A cold server listed in a known jam, between two looks at it, must not come in with what was reckoned before it.
 func TestColdServerListedInAJamStaysOut(t *testing.T) {
-	w := newWorld(t, map[string]any{"strikes": 50.0 /* thin lines are no excuse in a jam */})
-	w.step(0, full(8, 0))
-	w.join(6)
+	w := started(t, map[string]any{"strikes": 50.0 /* thin lines are no excuse in a jam */}, 8, 6)
 	for range 8 {
 		w.feed(8, 1.5, nil, nil)
 	}
@@ -630,9 +617,7 @@
 
 // A method that may go only to its own zone has a table of its own with servers of that zone.
 func TestOwnZoneMethods(t *testing.T) {
-	w := newWorld(t, map[string]any{"method.1.own_zone": true})
-	w.step(0, full(8, 0))
-	w.join(2)
+	w := started(t, map[string]any{"method.1.own_zone": true}, 8, 2)
 	for id := range w.tables[1] {
 		if w.open[id].Zone != "a" {
 			t.Fatalf("server %d of another zone in the zone's table", id)
@@ -662,11 +647,11 @@
 		var all []Event
 		p := Proxy(r.Intn(6))
 		id := EP(1000 + 77*r.Intn(12))
-		zone := Zone("ab"[id%2 : id%2+1])
+		zone := home(int(id))
 		switch r.Intn(14) {
 		case 0:
 			if !w.joined[p] {
-				all = append(all, Joined{p, Zone("ab"[p%2 : p%2+1]), 20 * r.Float64(), r.Intn(2) == 0})
+				all = append(all, Joined{p, home(int(p)), 20 * r.Float64(), r.Intn(2) == 0})
 			}
 		case 1:
 			if w.joined[p] && r.Intn(4) == 0 {
@@ -741,11 +726,7 @@
 	}
 	c := New(Bootstrap{Seed: 7, Now: 100, Values: values(map[string]any{"channel_room": 1e9})})
 	c.Step(100, []Event{full(3500, 0)})
-	var all []Event
-	for p := range 2700 {
-		all = append(all, Joined{Proxy(p), Zone("ab"[p%2 : p%2+1]), float64(1 + p%7), true})
-	}
-	if out := c.Step(101, all); count[BindTable](out) != 2700 {
+	if out := c.Step(101, crowd(2700)); count[BindTable](out) != 2700 {
 		t.Fatalf("%d of 2700 proxies were bound", count[BindTable](out))
 	}
 	c.Step(102, []Event{Listed{Kind: ListDelta, Entries: []Entry{{EP: 1000, State: Draining, Zone: "a", Weight: 2}}}})
--- a/choice/state.go
+++ b/choice/state.go
@@ -391,10 +391,10 @@
 	next        Seconds
 }
 
-// hashed gives the servers that fit, in the order of the ring.
-func (c *Planner) hashed(fits func(int) bool) (order []int) {
+// hashed gives the open servers, in the order of the ring.
+func (c *Planner) hashed() (order []int) {
 	for i := range c.id {
-		if fits(i) {
+		if c.state[i] == Open {
 			order = append(order, i)
 		}
 	}
