--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,6 +48,9 @@
 	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
 )
 
+// KeepPlace is how long what left or is gone keeps its place, in seconds: long after any order, sum or probe of it.
+const KeepPlace = 600.0
+
 // Step takes the events of one moment and returns what to do.
 func (c *Planner) Step(now Seconds, events []Event) []Order {
 	c.now, c.out = now, nil
--- /dev/null
+++ b/cmd/gingerfork/check.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/rehearse"
+)
+
+type checkCmd struct {
+	Files []string `arg:"" help:"Settings files, or days (files that end in .day)."`
+}
+
+func (c checkCmd) Run(p *program) error {
+	failed := 0
+	for _, f := range c.Files {
+		if err := check(f); err != nil {
+			failed++
+			fmt.Fprintln(p.err, err)
+			continue
+		}
+		fmt.Fprintf(p.out, "%s: good\n", f)
+	}
+	if failed > 0 {
+		return badError{fmt.Errorf("%d of %d files are bad", failed, len(c.Files))}
+	}
+	return nil
+}
+
+func check(file string) error {
+	if !strings.HasSuffix(file, ".day") {
+		_, err := bootstrap.Read(file)
+		return err
+	}
+	_, err := readDay(file)
+	return err
+}
+
+// readDay reads a day from a file, or one that comes with the program by its name.
+func readDay(name string) (*rehearse.Day, error) {
+	text, err := os.ReadFile(name)
+	if err == nil {
+		return rehearse.Read(name, string(text), func(file string) ([]byte, error) {
+			if data, err := os.ReadFile(filepath.Join(filepath.Dir(name), file)); err == nil {
+				return data, nil
+			}
+			data, err := rehearse.File(file)
+			if err != nil {
+				return nil, fmt.Errorf("%s is neither beside the day nor among the settings that come with the program", file)
+			}
+			return data, nil
+		})
+	}
+	text, own := rehearse.File(name + ".day")
+	if own != nil {
+		var p *os.PathError
+		if errors.As(err, &p) {
+			err = p.Err
+		}
+		return nil, fmt.Errorf("%s: %v, and no day of that name comes with the program (those that do: %s)", name, err, strings.Join(rehearse.Shipped(), ", "))
+	}
+	return rehearse.Read(name+".day", string(text), rehearse.File)
+}
+
+type settingsCmd struct{}
+
+func (settingsCmd) Run(p *program) error {
+	fmt.Fprint(p.out, bootstrap.Document())
+	return nil
+}
--- /dev/null
+++ b/cmd/gingerfork/rehearse.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"gingerfork/internal/rehearse"
+	"gingerfork/internal/trace"
+)
+
+type rehearseCmd struct {
+	Days    []string `arg:"" optional:"" help:"Days that come with the program (evening, deploy, cut), or files. None: evening."`
+	Virtual bool     `help:"In virtual time, over a network in memory: seconds instead of minutes, the same each time."`
+	JSON    bool     `help:"Print the result as JSON lines."`
+	Trace   string   `help:"Write what passed to this file, one record a line." placeholder:"FILE"`
+	Keep    string   `help:"Keep the coordinators' settings and logs in this folder." placeholder:"DIR"`
+	Seed    uint64   `help:"Another seed than the day's." placeholder:"N"`
+}
+
+func (c rehearseCmd) Run(p *program, ctx context.Context) error {
+	if len(c.Days) == 0 {
+		c.Days = []string{"evening"}
+	}
+	broken := []string{}
+	for _, name := range c.Days {
+		d, err := readDay(name)
+		if err != nil {
+			return badError{err}
+		}
+		if c.Seed > 0 {
+			d.Seed = c.Seed
+		}
+		r, err := c.play(ctx, p, d)
+		if err != nil {
+			return err
+		}
+		if c.Trace != "" {
+			if err := writeTrace(c.Trace, r.Records); err != nil {
+				return err
+			}
+		}
+		if c.JSON {
+			err = printJSON(p.out, r)
+		} else {
+			printResult(p.out, r, c.Virtual)
+		}
+		if err != nil {
+			return err
+		}
+		if r.Report.Broken() || len(r.Fails) > 0 {
+			broken = append(broken, d.Name)
+		}
+		if ctx.Err() != nil {
+			return errors.New("ended early")
+		}
+	}
+	if len(broken) > 0 {
+		return badError{fmt.Errorf("not good: %s", strings.Join(broken, ", "))}
+	}
+	return nil
+}
+
+func (c rehearseCmd) play(ctx context.Context, p *program, d *rehearse.Day) (rehearse.Result, error) {
+	if c.Virtual {
+		return rehearse.Virtual(d, nil)
+	}
+	dir := c.Keep
+	if dir == "" {
+		made, err := os.MkdirTemp("", "gingerfork-rehearse-")
+		if err != nil {
+			return rehearse.Result{}, fmt.Errorf("make a folder for the coordinators: %w", err)
+		}
+		defer os.RemoveAll(made)
+		dir = made
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return rehearse.Result{}, fmt.Errorf("make the folder to keep: %w", err)
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return rehearse.Result{}, fmt.Errorf("find this program, to start coordinators with it: %w", err)
+	}
+	if !c.JSON {
+		fmt.Fprintf(p.out, "%s: %d coordinators, %d servers, %d front ends on loopback sockets, %.0f s\n", d.Name, d.Coordinators,
+			count(d.Servers, func(g rehearse.ServerGroup) int { return g.N }), count(d.Fronts, func(g rehearse.FrontGroup) int { return g.N }), d.Length)
+	}
+	return rehearse.Sockets(ctx, d, rehearse.Serving{Command: []string{exe, "--log-format", "json", "serve"}, Env: serveEnv, Dir: dir})
+}
+
+// serveEnv is added to a coordinator's environment; the tests, whose program is another, need it.
+var serveEnv []string
+
+func count[T any](of []T, n func(T) int) (sum int) {
+	for _, x := range of {
+		sum += n(x)
+	}
+	return sum
+}
+
+func writeTrace(file string, records []trace.Record) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("write the trace: %w", err)
+	}
+	var b []byte
+	for _, r := range records {
+		if b = r.Append(b); len(b) > 1<<16 {
+			if _, err = f.Write(b); err != nil {
+				break
+			}
+			b = b[:0]
+		}
+	}
+	if err == nil {
+		_, err = f.Write(b)
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return fmt.Errorf("write the trace: %w", err)
+	}
+	return nil
+}
+
+func printResult(out io.Writer, r rehearse.Result, virtual bool) {
+	where := "on sockets"
+	if virtual {
+		where = "in virtual time"
+	}
+	fmt.Fprintf(out, "\nday %s, seed %d, %s: %.1f s, %d troubles\n\n", r.Day.Name, r.Day.Seed, where, r.Report.Length, r.Report.Troubles)
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "rule\t\tresult\tnearest to its limit\t")
+	for _, v := range r.Report.Rules {
+		result := "kept"
+		if v.Broken > 0 {
+			result = fmt.Sprintf("BROKEN %d times", v.Broken)
+		}
+		fmt.Fprintf(t, "%d\t%s\t%s\t%.0f%%  %s\n", v.Rule, v.Name, result, 100*v.Nearest, v.Note)
+	}
+	t.Flush()
+	for _, v := range r.Report.Rules {
+		if v.Broken > 0 {
+			fmt.Fprintf(out, "\nrule %d first broke at %.3f (record %d of the trace), %s: %s\n", v.Rule, v.T, v.Record, v.Who, v.Why)
+		}
+	}
+	s := r.Report.Service
+	fmt.Fprintf(out, "\nservice %.3f (criticality answered within the soft deadline over criticality asked for)\n", s.Share())
+	fmt.Fprintf(out, "RPCs %d: ok %d (%d of them late), pushed back %d, aborted %d, open at the end %d\n", s.RPCs, s.OK, s.Late, s.PushedBack, s.Aborted, s.Open)
+	fmt.Fprintf(out, "tries %d, messages to proxies %d with %d lines, cold servers fallen %d\n", r.Report.Tries, r.Report.Pushes, r.Report.Lines, r.Report.Falls)
+	for _, f := range r.Fails {
+		fmt.Fprintf(out, "DEFECT: %s\n", f)
+	}
+}
+
+func printJSON(out io.Writer, r rehearse.Result) error {
+	type rule struct {
+		Rule    int     `json:"rule"`
+		Name    string  `json:"name"`
+		Broken  int     `json:"broken"`
+		At      float64 `json:"at,omitempty"`
+		Who     string  `json:"who,omitempty"`
+		Record  int     `json:"record,omitempty"`
+		Why     string  `json:"why,omitempty"`
+		Nearest float64 `json:"nearest"`
+		Note    string  `json:"note,omitempty"`
+	}
+	var rules []rule
+	for _, v := range r.Report.Rules {
+		rules = append(rules, rule{v.Rule, v.Name, v.Broken, v.T, v.Who, v.Record, v.Why, v.Nearest, v.Note})
+	}
+	s := r.Report.Service
+	return json.NewEncoder(out).Encode(map[string]any{"day": r.Day.Name, "seed": r.Day.Seed, "length": r.Report.Length, "rules": rules,
+		"service": s.Share(), "rpcs": s.RPCs, "ok": s.OK, "late": s.Late, "pushed_back": s.PushedBack, "aborted": s.Aborted,
+		"tries": r.Report.Tries, "messages": r.Report.Pushes, "lines": r.Report.Lines, "falls": r.Report.Falls, "defects": r.Fails})
+}
--- /dev/null
+++ b/cmd/gingerfork/standin.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/loop"
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+	"gingerfork/internal/standin"
+	"gingerfork/internal/trace"
+)
+
+type standinCmd struct {
+	Frontend frontendCmd `cmd:"" help:"A front end that follows a coordinator's tables. Example: gingerfork standin frontend --settings perth.conf --coordinator 127.0.0.1:7400 --name f0"`
+	Server   serverCmd   `cmd:"" help:"A server. Example: gingerfork standin server --listen 127.0.0.1:7501 --ep 1"`
+	List     listCmd     `cmd:"" help:"A list service that shows the given servers. Example: gingerfork standin list --listen 127.0.0.1:7300 1,dc-kewdale,1,127.0.0.1:7501"`
+}
+
+// standinFlags are those of all stand-ins. Words on standard input, a line each, are what scripts tell them.
+type standinFlags struct {
+	Trace string `help:"Write what passes to this file, one record a line." placeholder:"FILE"`
+	Seed  uint64 `help:"What chance is drawn from." default:"1"`
+}
+
+func (f standinFlags) run(p *program, ctx context.Context, name string, m machine.Machine, listen ...string) error {
+	log := p.logger().With("standin", name)
+	b := loop.Bootstrap{Machine: m, Listen: listen, Log: log}
+	if f.Trace != "" {
+		file, err := os.Create(f.Trace)
+		if err != nil {
+			return fmt.Errorf("write the trace: %w", err)
+		}
+		defer file.Close()
+		w := bufio.NewWriter(file)
+		defer w.Flush()
+		b.Trace = func(all []trace.Record) {
+			for _, r := range all {
+				_, _ = w.Write(r.Append(nil))
+			}
+		}
+	}
+	l, err := loop.Start(ctx, b)
+	if err != nil {
+		return err
+	}
+	log.Info("stand-in started", "listen", strings.Join(l.Addrs(), " "))
+	go func() { // it ends with the process: nothing interrupts a read of standard input
+		for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+			l.Tell(in.Text())
+		}
+	}()
+	return l.Wait()
+}
+
+type serverCmd struct {
+	standinFlags
+	Listen   string  `required:"" help:"Where it listens." placeholder:"HOST:PORT"`
+	EP       uint32  `required:"" help:"Its number on the list." placeholder:"N"`
+	Capacity float64 `help:"RPCs a second when warm." default:"30"`
+	Workers  int     `help:"RPCs that run at once." default:"2"`
+	Queue    int     `help:"RPCs that may wait." default:"30"`
+	Cold     bool    `help:"It starts cold."`
+	Settings string  `help:"The fleet's settings, for how cold servers warm and fall." placeholder:"FILE"`
+}
+
+func (c serverCmd) Run(p *program, ctx context.Context) error {
+	t := standin.ServerTrade{EP: c.EP, Capacity: c.Capacity, Workers: c.Workers, QueueMost: c.Queue, Cold: c.Cold, Seed: c.Seed,
+		Store: &standin.Store{}}
+	if c.Settings != "" {
+		s, err := bootstrap.Read(c.Settings)
+		if err != nil {
+			return badError{err}
+		}
+		b := s.Coordinator(0)
+		t.ColdShare, t.WarmAfter = b.Num("cold_share", 1), b.Num("warm_after", 0)
+		t.FallMultiple, t.FallWindow = b.Num("fall_multiple", 0), b.Num("fall_window", 0)
+	}
+	return c.run(p, ctx, fmt.Sprint("server-", c.EP), standin.NewServer(t), c.Listen)
+}
+
+type listCmd struct {
+	standinFlags
+	Listen  string   `required:"" help:"Where it listens." placeholder:"HOST:PORT"`
+	Servers []string `arg:"" help:"Servers, each as NUMBER,ZONE,WEIGHT,HOST:PORT."`
+}
+
+func (c listCmd) Run(p *program, ctx context.Context) error {
+	var all []standin.Listing
+	for _, s := range c.Servers {
+		f := strings.Split(s, ",")
+		if len(f) != 4 {
+			return fmt.Errorf("server %q is not NUMBER,ZONE,WEIGHT,HOST:PORT", s)
+		}
+		ep, err := strconv.ParseUint(f[0], 10, 32)
+		if err != nil {
+			return fmt.Errorf("server %q: %w", s, err)
+		}
+		w, err := bootstrap.Number(f[2])
+		if err != nil {
+			return fmt.Errorf("server %q: weight %w", s, err)
+		}
+		all = append(all, standin.Listing{EP: proto.EP(ep), State: proto.ServerOpen, Zone: f[1], Weight: w, Addr: f[3], Stamp: 1})
+	}
+	return c.run(p, ctx, "list", standin.NewList(all), c.Listen)
+}
+
+type frontendCmd struct {
+	standinFlags
+	Settings    string   `required:"" help:"The fleet's settings." placeholder:"FILE"`
+	Coordinator []string `required:"" help:"Where coordinators are reached, the first preferred." placeholder:"HOST:PORT"`
+	Name        string   `required:"" help:"Its name." placeholder:"NAME"`
+	Zone        string   `help:"Its zone; none: the first of the settings." placeholder:"ZONE"`
+	Rate        float64  `help:"RPCs a second." default:"10"`
+}
+
+func (c frontendCmd) Run(p *program, ctx context.Context) error {
+	s, err := bootstrap.Read(c.Settings)
+	if err != nil {
+		return badError{err}
+	}
+	b := s.Coordinator(0)
+	if c.Zone == "" {
+		c.Zone = b.Word("zones.0")
+	}
+	t := standin.FrontTrade{Name: c.Name, Zone: c.Zone, Coordinators: c.Coordinator, Rate: c.Rate, Pick: b.Word("pick"),
+		Strikes: int(b.Num("strikes", 0)), KeepAway: 5, TryWait: b.Num("try_wait", 0.8), LineStill: 0.0002,
+		LevelRate: b.Word("level_kind") == "rate", Period: b.Num("report_period", 1), ConnectTimeout: 0.25, Seed: c.Seed,
+		Methods: standin.Methods(s.Methods, b)}
+	return c.run(p, ctx, c.Name, standin.NewFrontEnd(t))
+}
--- /dev/null
+++ b/internal/coordinator/core.go
@@ -0,0 +1,595 @@
+// Package coordinator is one coordinator: an instance of the decision module, joined to its proxies' streams, the list,
+// sums, probes and peers.
+//
+// Core is a plain state machine of typed events and orders; it decides nothing of its own. Machine puts the protocol
+// around it. Neither has a socket, a clock or a file: see package machine for who drives them.
+package coordinator
+
+import (
+	"cmp"
+	"fmt"
+	"iter"
+	"runtime/debug"
+	"slices"
+
+	"gingerfork/choice"
+	"gingerfork/internal/proto"
+)
+
+// StreamID names a proxy's stream.
+type StreamID uint64
+
+// Event is one of the types below.
+type Event any
+
+type (
+	// Join is a proxy's hello.
+	Join struct {
+		Stream StreamID
+		Hello  proto.Hello
+	}
+	// Lost: a stream ended.
+	Lost struct{ Stream StreamID }
+	// Answer of a proxy to a mark.
+	Answer struct {
+		Stream StreamID
+		Mark   uint64
+	}
+	// Sums of a proxy.
+	Sums struct {
+		Stream StreamID
+		Sums   proto.Sums
+	}
+	// News of the list.
+	News struct{ List proto.List }
+	// ListLost: the list service can't be reached, or the stream to it ended.
+	ListLost struct{}
+	// Probed: a probe ended.
+	Probed struct {
+		EP       choice.EP
+		OK, Busy bool
+		Delay    choice.Seconds
+	}
+	// PeerNote came from another coordinator.
+	PeerNote struct {
+		From choice.Peer
+		Data string
+	}
+)
+
+// Orders is what a step wants done, each list in order.
+type Orders struct {
+	Sends  []Send
+	Drops  []Drop
+	Probes []Target
+	Watch  *proto.Watch
+	Fetch  bool
+	Tells  []choice.Tell
+	Says   []string
+	Kept   []byte // the list to keep; nil: as it was
+	Wake   choice.Seconds
+	// ListBad says why the last list frame was refused; the stream that it came on is to be closed.
+	ListBad error
+}
+
+type (
+	// Send is a message that leaves.
+	Send struct {
+		Stream StreamID
+		Push   proto.Push
+	}
+	// Drop ends a stream with a reason.
+	Drop struct {
+		Stream StreamID
+		Reason string
+	}
+	// Target is a server to probe.
+	Target struct {
+		EP   choice.EP
+		Addr string
+	}
+)
+
+// stream is a proxy that is joined.
+type stream struct {
+	id     StreamID
+	name   string
+	proxy  choice.Proxy
+	zone   choice.Zone
+	queue  []*message
+	urgent bool // a withdrawal is among them
+	sent   uint64
+	marks  []pending          // sent, not answered
+	shut   map[choice.EP]bool // what it was told is withdrawn
+	binds  []choice.Table
+	now    *message // of this step
+}
+
+// pending is a mark that was given to a proxy.
+type pending struct {
+	mark choice.Mark
+	step uint64
+	at   choice.Seconds
+}
+
+// table is one of the module's tables, and who follows it.
+type table struct {
+	weight    map[choice.EP]float64
+	levels    []proto.Level
+	followers []*stream
+	methods   uint64
+}
+
+// member is a proxy's number. It is given to another once the module has forgotten what it knew of it.
+type member struct {
+	name   string
+	number choice.Proxy
+	stream *stream
+	left   choice.Seconds
+}
+
+// held is an answer that must not reach the module yet.
+type held struct {
+	step   uint64
+	answer choice.Answered
+	stream *stream
+}
+
+// Core is one coordinator without its protocol.
+type Core struct {
+	boot    choice.Bootstrap
+	planner *choice.Planner
+	methods int
+	round   choice.Seconds
+
+	roll    *roll
+	channel channel
+	intake  *intake
+	streams map[StreamID]*stream
+	members map[string]*member
+	gone    []*member // left, oldest first
+	spare   []choice.Proxy
+	// numbered has the streams by their proxy's number, nil where none is joined.
+	numbered []*stream
+	tables   map[choice.Table]*table
+	shut     map[choice.EP]bool
+
+	events  []choice.Event
+	answers []held // held back
+	alarm   choice.Seconds
+	ring    choice.Token
+	step    uint64
+	stepped choice.Seconds
+	touched []*stream
+	out     Orders
+	figures Figures
+}
+
+// Figures are counts since the start, for logs, metrics and tests.
+type Figures struct {
+	Joins, Leaves, Superseded int
+	Messages, Lines           int
+	Steps, Orders             int
+	Stale                     int // answers to marks not in flight
+	Sums, Handed              int
+	MostWaiting               int
+}
+
+// Figures gives the counts.
+func (c *Core) Figures() Figures {
+	f := c.figures
+	f.MostWaiting = c.channel.most
+	return f
+}
+
+// New makes a coordinator that knows the list that its last run kept (nil: none). A kept list that is damaged is
+// reported, and the coordinator starts without one.
+func New(boot choice.Bootstrap, kept []byte) (*Core, error) {
+	c := &Core{boot: boot, planner: choice.New(boot), methods: int(boot.Num("method.n", 1)), round: boot.Num("tick", 0),
+		roll: &roll{entries: map[choice.EP]*server{}}, intake: newIntake(boot), streams: map[StreamID]*stream{},
+		members: map[string]*member{}, tables: map[choice.Table]*table{}, shut: map[choice.EP]bool{}, alarm: boot.Now}
+	c.channel = channel{pace: boot.Num("channel_pace", 1e4), head: int(boot.Num("message_lines", 0)), burst: c.round,
+		free: boot.Now}
+	c.stepped = boot.Now - c.round
+	var err error
+	if kept != nil {
+		var r *roll
+		if r, err = decodeKept(kept); err == nil {
+			c.roll = r
+			c.events = append(c.events, r.kept())
+		}
+	}
+	return c, err
+}
+
+// Failure is what Step panics with when the module failed: the step's orders must not be carried out, half done.
+type Failure struct {
+	Cause any
+	Stack []byte
+}
+
+func (f Failure) Error() string { return fmt.Sprintf("the decision module failed: %v", f.Cause) }
+
+// Step takes what happened and gives what to do.
+func (c *Core) Step(now choice.Seconds, events []Event) Orders {
+	c.out = Orders{Wake: now + 3600}
+	for _, e := range events {
+		c.take(now, e)
+	}
+	c.pump(now)
+	handed := c.intake.due(now)
+	c.figures.Handed += len(handed)
+	c.events = append(c.events, handed...)
+	c.release(now)
+	if due := now >= c.alarm; due || len(c.events) > 0 && now >= c.stepped+c.round {
+		if due {
+			c.events = append(c.events, choice.Due{Token: c.ring})
+			c.alarm = now + 3600
+		}
+		c.decide(now)
+		c.pump(now)
+	}
+	if len(c.events) > 0 {
+		c.wake(c.stepped + c.round)
+	}
+	c.wake(c.alarm)
+	if at, any := c.channel.wake(); any {
+		c.wake(at)
+	}
+	if at, any := c.intake.wake(); any {
+		c.wake(at)
+	}
+	c.forget(now)
+	return c.out
+}
+
+func (c *Core) wake(at choice.Seconds) { c.out.Wake = min(c.out.Wake, at) }
+
+func (c *Core) take(now choice.Seconds, e Event) {
+	switch e := e.(type) {
+	case Join:
+		c.join(now, e)
+	case Lost:
+		if s := c.streams[e.Stream]; s != nil {
+			c.leave(now, s)
+		}
+	case Answer:
+		if s := c.streams[e.Stream]; s != nil {
+			c.answer(now, s, choice.Mark(e.Mark))
+		}
+	case Sums:
+		if s := c.streams[e.Stream]; s != nil {
+			c.figures.Sums++
+			c.intake.heard(now, s, e.Sums, func(ep choice.EP) bool { return c.roll.entries[ep] != nil }, c.methods)
+		}
+	case News:
+		l, err := c.roll.news(now, e.List)
+		if err != nil {
+			c.out.ListBad = err
+			l = &choice.Listed{Kind: choice.ListFailed}
+		} else if len(l.Entries) > 0 || l.Kind == choice.ListFull {
+			c.out.Kept = c.roll.encode()
+		}
+		c.events = append(c.events, *l)
+	case ListLost:
+		c.events = append(c.events, choice.Listed{Kind: choice.ListFailed})
+	case Probed:
+		c.events = append(c.events, choice.Probed{EP: e.EP, OK: e.OK, Busy: e.Busy, Delay: e.Delay})
+	case PeerNote:
+		c.events = append(c.events, choice.PeerNote{From: e.From, Data: []byte(e.Data)})
+	default:
+		panic(fmt.Sprintf("coordinator: unknown event %T", e))
+	}
+}
+
+func (c *Core) join(now choice.Seconds, e Join) {
+	m := c.members[e.Hello.Name]
+	if m == nil {
+		m = &member{name: e.Hello.Name, number: choice.Proxy(len(c.numbered))}
+		if n := len(c.spare); n > 0 {
+			m.number, c.spare = c.spare[n-1], c.spare[:n-1]
+		} else {
+			c.numbered = append(c.numbered, nil)
+		}
+		c.members[m.name] = m
+	}
+	if m.stream != nil {
+		// The older stream is a dead one that we have not noticed, or an impostor; both can't be followed.
+		c.figures.Superseded++
+		c.out.Drops = append(c.out.Drops, Drop{m.stream.id, "this proxy joined again on a newer stream"})
+		c.leave(now, m.stream)
+	}
+	s := &stream{id: e.Stream, name: m.name, proxy: m.number, zone: choice.Zone(e.Hello.Zone), shut: map[choice.EP]bool{}}
+	m.stream = s
+	c.streams[e.Stream], c.numbered[s.proxy] = s, s
+	c.figures.Joins++
+	c.events = append(c.events, choice.Joined{Proxy: s.proxy, Zone: s.zone, Rate: e.Hello.Rate, Fresh: e.Hello.Fresh})
+}
+
+func (c *Core) leave(now choice.Seconds, s *stream) {
+	delete(c.streams, s.id)
+	c.numbered[s.proxy] = nil
+	c.channel.drop(s)
+	for _, t := range s.binds {
+		c.tables[t].unfollow(s)
+	}
+	c.answers = slices.DeleteFunc(c.answers, func(h held) bool { return h.stream == s })
+	m := c.members[s.name]
+	m.stream, m.left = nil, now
+	c.gone = append(c.gone, m)
+	c.figures.Leaves++
+	c.events = append(c.events, choice.Left{Proxy: s.proxy})
+}
+
+// forget gives back the numbers of proxies that left so long ago that the module has dropped them.
+func (c *Core) forget(now choice.Seconds) {
+	for len(c.gone) > 0 {
+		m := c.gone[0]
+		if now < m.left+choice.KeepPlace*2 {
+			return
+		}
+		c.gone = c.gone[1:]
+		// One that came back in between, and perhaps left again, stands in the row once more.
+		if m.stream == nil && now >= m.left+choice.KeepPlace*2 && c.members[m.name] == m {
+			delete(c.members, m.name)
+			c.intake.forget(m.number)
+			c.spare = append(c.spare, m.number)
+		}
+	}
+}
+
+// answer checks that the mark is in flight on this very stream; stale and unknown ones are ignored, as the design says.
+func (c *Core) answer(now choice.Seconds, s *stream, mark choice.Mark) {
+	at := slices.IndexFunc(s.marks, func(p pending) bool { return p.mark == mark })
+	if at < 0 {
+		c.figures.Stale++
+		return
+	}
+	p := s.marks[at]
+	s.marks = append(s.marks[:0], s.marks[at+1:]...)
+	c.answers = append(c.answers, held{p.step, choice.Answered{Proxy: s.proxy, Mark: mark, Delay: now - p.at}, s})
+}
+
+// release hands over answers. The module takes an answer as proof that all that was ordered before has left the channel;
+// as withdrawals pass by what waits, an answer to one is held until that is so.
+func (c *Core) release(now choice.Seconds) {
+	oldest, any := c.channel.oldest()
+	kept := c.answers[:0]
+	for _, h := range c.answers {
+		if any && h.step > oldest {
+			kept = append(kept, h)
+			continue
+		}
+		c.events = append(c.events, h.answer)
+	}
+	clear(c.answers[len(kept):])
+	c.answers = kept
+}
+
+// decide has the module take a step, and carries out what it orders.
+func (c *Core) decide(now choice.Seconds) {
+	events := c.events
+	c.events = nil
+	c.step, c.stepped = c.step+1, now
+	c.figures.Steps++
+	orders := c.ask(now, events)
+	c.figures.Orders += len(orders)
+	var mark *choice.SetMark
+	for _, o := range orders {
+		if m, ok := o.(choice.SetMark); ok {
+			mark = &m
+		} else {
+			c.carry(now, o)
+		}
+	}
+	if mark != nil && mark.All {
+		for s := range c.joined() {
+			c.of(s)
+		}
+	}
+	for _, s := range c.touched {
+		m := s.now
+		s.now = nil
+		if mark != nil {
+			m.marked, m.mark = true, mark.Mark
+			m.lines++
+		}
+		c.channel.add(m)
+	}
+	c.touched = c.touched[:0]
+}
+
+func (c *Core) ask(now choice.Seconds, events []choice.Event) (orders []choice.Order) {
+	defer func() {
+		if r := recover(); r != nil {
+			panic(Failure{r, debug.Stack()})
+		}
+	}()
+	return c.planner.Step(now, events)
+}
+
+// joined goes through the streams, by their proxies' numbers.
+func (c *Core) joined() iter.Seq[*stream] {
+	return func(yield func(*stream) bool) {
+		for _, s := range c.numbered {
+			if s != nil && !yield(s) {
+				return
+			}
+		}
+	}
+}
+
+// of is the message of this step to a proxy.
+func (c *Core) of(s *stream) *message {
+	if s.now == nil {
+		s.now = &message{to: s, step: c.step, at: c.stepped}
+		c.touched = append(c.touched, s)
+	}
+	return s.now
+}
+
+func (c *Core) add(s *stream, op proto.Op, lines int) {
+	m := c.of(s)
+	m.ops, m.lines = append(m.ops, op), m.lines+lines
+	m.urgent = m.urgent || op.Kind == proto.OpWithdraw
+}
+
+func (c *Core) table(t choice.Table) *table {
+	x := c.tables[t]
+	if x == nil {
+		x = &table{weight: map[choice.EP]float64{}}
+		c.tables[t] = x
+	}
+	return x
+}
+
+func (t *table) unfollow(s *stream) {
+	if t != nil {
+		t.followers = slices.DeleteFunc(t.followers, func(x *stream) bool { return x == s })
+	}
+}
+
+func (c *Core) line(ep choice.EP, weight float64) proto.Line {
+	l := proto.Line{EP: proto.EP(ep), Weight: weight, Shut: c.shut[ep]}
+	if s := c.roll.entries[ep]; s != nil && weight > 0 {
+		l.Addr = s.addr
+	}
+	return l
+}
+
+// carry does one order.
+func (c *Core) carry(now choice.Seconds, o choice.Order) {
+	switch o := o.(type) {
+	case choice.SetLine:
+		t := c.table(o.Table)
+		if o.Weight > 0 {
+			t.weight[o.EP] = o.Weight
+		} else {
+			delete(t.weight, o.EP)
+		}
+		for _, s := range t.followers {
+			l := c.line(o.EP, o.Weight)
+			if l.Shut {
+				s.shut[o.EP] = true
+			}
+			c.add(s, proto.Op{Kind: proto.OpLine, Table: uint64(o.Table), Lines: []proto.Line{l}}, 1)
+		}
+	case choice.ClearTable:
+		t := c.table(o.Table)
+		clear(t.weight)
+		t.levels = nil
+		for _, s := range t.followers {
+			c.add(s, proto.Op{Kind: proto.OpClear, Table: uint64(o.Table)}, 1)
+		}
+		if len(t.followers) == 0 {
+			delete(c.tables, o.Table)
+		}
+	case choice.BindTable:
+		c.bind(o)
+	case choice.SetLevel:
+		t := c.table(o.Table)
+		l := proto.Level{Methods: o.Methods, Level: o.Level, Tries: uint64(o.Tries)}
+		if at := slices.IndexFunc(t.levels, func(x proto.Level) bool { return x.Methods == l.Methods }); at >= 0 {
+			t.levels[at] = l
+		} else {
+			t.levels = append(t.levels, l)
+		}
+		for _, s := range t.followers {
+			c.add(s, proto.Op{Kind: proto.OpLevel, Table: uint64(o.Table), Levels: []proto.Level{l}}, 1)
+		}
+	case choice.Withdraw:
+		c.withdraw(o)
+	case choice.Watch:
+		c.out.Watch = &proto.Watch{On: o.On, Since: c.roll.version}
+		if !c.roll.held {
+			c.out.Watch.Since = 0
+		}
+	case choice.Fetch:
+		c.out.Fetch = true
+	case choice.Probe:
+		if s := c.roll.entries[o.EP]; s != nil {
+			c.out.Probes = append(c.out.Probes, Target{o.EP, s.addr})
+		}
+	case choice.Alarm:
+		// The module asks for one at a time and looks at the clock itself; the soonest serves them all.
+		if o.At < c.alarm {
+			c.alarm, c.ring = o.At, o.Token
+		}
+	case choice.Tell:
+		c.out.Tells = append(c.out.Tells, o)
+	case choice.Say:
+		c.out.Says = append(c.out.Says, o.Text)
+	default:
+		panic(Failure{fmt.Sprintf("an order of unknown type %T", o), nil})
+	}
+}
+
+// bind sends a whole table, as it is at this moment.
+func (c *Core) bind(o choice.BindTable) {
+	if int(o.Proxy) >= len(c.numbered) || c.numbered[o.Proxy] == nil {
+		return // it left while the module decided on older news
+	}
+	s := c.numbered[o.Proxy]
+	t := c.table(o.Table)
+	if !slices.Contains(t.followers, s) {
+		t.followers = append(t.followers, s)
+		s.binds = append(s.binds, o.Table)
+	}
+	op := proto.Op{Kind: proto.OpBind, Table: uint64(o.Table), Methods: o.Methods, Levels: slices.Clone(t.levels)}
+	for ep, w := range t.weight {
+		op.Lines = append(op.Lines, c.line(ep, w))
+	}
+	slices.SortFunc(op.Lines, func(a, b proto.Line) int { return cmp.Compare(a.EP, b.EP) })
+	for _, l := range op.Lines {
+		if l.Shut {
+			s.shut[choice.EP(l.EP)] = true
+		}
+	}
+	for ep := range s.shut {
+		op.Withdrawn = append(op.Withdrawn, proto.EP(ep))
+	}
+	slices.Sort(op.Withdrawn)
+	c.add(s, op, 1+len(op.Lines)+len(op.Levels))
+}
+
+// withdraw shuts a server out, at every proxy that holds a line of it or may hold one of an earlier stream; or lets it
+// in again, at those that hold one. Others need no word: a line says itself whether its server is withdrawn.
+func (c *Core) withdraw(o choice.Withdraw) {
+	if o.On {
+		c.shut[o.EP] = true
+	} else {
+		delete(c.shut, o.EP)
+	}
+	for s := range c.joined() {
+		holds := slices.ContainsFunc(s.binds, func(t choice.Table) bool { return c.tables[t].weight[o.EP] > 0 })
+		switch {
+		case o.On && (holds || len(s.binds) == 0):
+			s.shut[o.EP] = true
+			c.add(s, proto.Op{Kind: proto.OpWithdraw, Withdrawn: []proto.EP{proto.EP(o.EP)}}, 1)
+		case !o.On && s.shut[o.EP]:
+			delete(s.shut, o.EP)
+			if holds {
+				c.add(s, proto.Op{Kind: proto.OpReadmit, Withdrawn: []proto.EP{proto.EP(o.EP)}}, 1)
+			}
+		}
+	}
+}
+
+// pump sends what may leave by now.
+func (c *Core) pump(now choice.Seconds) {
+	for {
+		m := c.channel.next(now)
+		if m == nil {
+			return
+		}
+		s := m.to
+		s.sent++
+		if m.marked {
+			s.marks = append(s.marks, pending{m.mark, m.step, m.at})
+		}
+		c.figures.Messages++
+		c.figures.Lines += m.lines
+		c.out.Sends = append(c.out.Sends, Send{s.id, proto.Push{Seq: s.sent, Waiting: uint64(max(c.channel.waiting, 0)),
+			Marked: m.marked, Mark: uint64(m.mark), Ops: m.ops}})
+	}
+}
--- /dev/null
+++ b/internal/coordinator/intake.go
@@ -0,0 +1,139 @@
+package coordinator
+
+import (
+	"gingerfork/choice"
+	"gingerfork/internal/proto"
+)
+
+// intake gathers what proxies met and hands it to the module: sums over a zone and a period, oldest first, no more lines
+// a second than the settings let in. What can't be handed over yet is added to, not queued again, so that its room is
+// bounded by pairs of server and zone and of proxy and method, however late the module gets to it.
+type intake struct {
+	rate   float64 // lines a second; 0: all
+	period choice.Seconds
+	credit float64
+	last   choice.Seconds
+	queue  []*sum // oldest first; those handed over are nil
+	head   int
+	tries  map[tryPair]*sum
+	usage  map[usagePair]*sum
+}
+
+type (
+	tryPair struct {
+		ep   choice.EP
+		zone choice.Zone
+	}
+	usagePair struct {
+		proxy  choice.Proxy
+		method choice.Method
+	}
+	// sum is a line that waits. Its span is from the oldest moment that it covers to the newest.
+	sum struct {
+		ripe     choice.Seconds // when the period that it gathers ends
+		from, to choice.Seconds
+		pair     tryPair
+		use      usagePair
+		usage    bool
+		n, bad   int
+		delay    choice.Seconds // mean of the good ones
+	}
+)
+
+func newIntake(boot choice.Bootstrap) *intake {
+	return &intake{rate: boot.Num("intake", 0), period: boot.Num("report_period", 1), last: boot.Now,
+		tries: map[tryPair]*sum{}, usage: map[usagePair]*sum{}}
+}
+
+func (k *intake) heard(now choice.Seconds, s *stream, m proto.Sums, known func(choice.EP) bool, methods int) {
+	from := now - m.Over
+	for _, t := range m.Tries {
+		pair := tryPair{choice.EP(t.EP), s.zone}
+		if t.Tries == 0 || !known(pair.ep) {
+			continue
+		}
+		x := k.tries[pair]
+		if x == nil {
+			// The zone's other proxies report within the period; one line tells of them all.
+			x = &sum{ripe: now + k.period/2, from: from, pair: pair}
+			k.tries[pair] = x
+			k.queue = append(k.queue, x)
+		}
+		good, more := float64(x.n-x.bad), float64(t.Tries-t.Bad)
+		if more > 0 {
+			x.delay = (x.delay*good + t.Delay*more) / (good + more)
+		}
+		x.n, x.bad = x.n+int(t.Tries), x.bad+int(t.Bad)
+		x.from, x.to = min(x.from, from), now
+	}
+	for _, u := range m.Usage {
+		if int(u.Method) >= methods || u.RPCs == 0 {
+			continue
+		}
+		pair := usagePair{s.proxy, choice.Method(u.Method)}
+		x := k.usage[pair]
+		if x == nil {
+			x = &sum{ripe: now, from: from, use: pair, usage: true}
+			k.usage[pair] = x
+			k.queue = append(k.queue, x)
+		}
+		x.n, x.bad = x.n+int(u.RPCs), x.bad+int(u.Bad)
+		x.from, x.to = min(x.from, from), now
+	}
+}
+
+// due gives the lines that may be handed over now.
+func (k *intake) due(now choice.Seconds) (events []choice.Event) {
+	if k.rate > 0 {
+		// Lines not used up in one period are not saved for a rush.
+		k.credit = min(k.credit+(now-k.last)*k.rate, k.rate*k.period)
+	}
+	k.last = now
+	for k.head < len(k.queue) {
+		x := k.queue[k.head]
+		if x != nil {
+			if x.ripe > now || k.rate > 0 && k.credit < 1 {
+				break
+			}
+			k.credit--
+			if x.usage {
+				delete(k.usage, x.use)
+				events = append(events, choice.UsageSum{Proxy: x.use.proxy, Method: x.use.method, RPCs: x.n,
+					Bad: min(x.bad, x.n), Over: x.to - x.from})
+			} else {
+				delete(k.tries, x.pair)
+				events = append(events, choice.TrySum{EP: x.pair.ep, Zone: x.pair.zone, Tries: x.n, Bad: x.bad,
+					Delay: x.delay, Over: x.to - x.from})
+			}
+			k.queue[k.head] = nil
+		}
+		k.head++
+	}
+	if k.head == len(k.queue) {
+		k.queue, k.head = k.queue[:0], 0
+	} else if k.head > 1024 && k.head > len(k.queue)/2 {
+		k.queue, k.head = append(k.queue[:0], k.queue[k.head:]...), 0
+	}
+	return events
+}
+
+func (k *intake) wake() (at choice.Seconds, any bool) {
+	if k.head >= len(k.queue) || k.queue[k.head] == nil {
+		return 0, false
+	}
+	at = k.queue[k.head].ripe
+	if k.rate > 0 && k.credit < 1 {
+		at = max(at, k.last+(1-k.credit)/k.rate)
+	}
+	return at, true
+}
+
+// forget drops what waits of a proxy whose number may be given to another.
+func (k *intake) forget(p choice.Proxy) {
+	for i := k.head; i < len(k.queue); i++ {
+		if x := k.queue[i]; x != nil && x.usage && x.use.proxy == p {
+			delete(k.usage, x.use)
+			k.queue[i] = nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordinator/machine.go
@@ -0,0 +1,484 @@
+package coordinator
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"unicode"
+
+	"gingerfork/choice"
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+)
+
+// KeptList names the file in which the list is kept between starts.
+const KeptList = "list"
+
+// Bootstrap is what a coordinator is started with.
+type Bootstrap struct {
+	Name         string
+	Zone         string
+	ListAddr     string
+	Peers        map[choice.Peer]string // addresses
+	Module       choice.Bootstrap
+	Handshake    machine.Seconds // within which a stream must say hello
+	Silence      machine.Seconds // of a proxy's stream, after which it counts as broken
+	ListSilence  machine.Seconds // of the list service
+	ProbeTimeout machine.Seconds
+	MostStreams  int
+	MostProbes   int // at once; more wait
+}
+
+// role is what a connection is to us.
+type role uint8
+
+const (
+	stranger role = iota // it has not said hello
+	proxyRole
+	listRole
+	probeRole
+	peerRole
+)
+
+// session is one connection.
+type session struct {
+	conn   machine.Conn
+	role   role
+	name   string
+	reader proto.Reader
+	opened machine.Seconds
+	heard  machine.Seconds
+	up     bool // dialled ones: it stands
+	ready  bool // lists: it had its welcome
+	probe  Target
+	peer   choice.Peer
+}
+
+// Machine is a coordinator with its protocol.
+type Machine struct {
+	boot     Bootstrap
+	core     *Core
+	sessions map[machine.Conn]*session
+	order    []*session // in the order they came, for sweeps; closed ones are nil
+	dialled  machine.Conn
+	list     *session
+	asks     []proto.Message // for the list service, once it is reached
+	probing  int
+	queued   []Target
+	peers    map[choice.Peer]*session
+	swept    machine.Seconds
+	faulted  map[string]int // refusals by reason, so that a storm of them makes few lines in the log
+	started  bool
+	renewed  bool // since the last step
+	keptBad  error
+}
+
+// NewMachine makes a coordinator; kept is the file KeptList as last saved, nil if there is none.
+func NewMachine(boot Bootstrap, kept []byte) *Machine {
+	core, err := New(boot.Module, kept)
+	return &Machine{boot: boot, core: core, sessions: map[machine.Conn]*session{}, peers: map[choice.Peer]*session{},
+		dialled: machine.Dialled, swept: boot.Module.Now, faulted: map[string]int{}, keptBad: err}
+}
+
+// Renew puts other settings in force. The module reads its settings once, so a fresh instance takes over, as after a
+// restart: from the list as held, with no streams. Proxies are refused with that reason, keep their tables, and join
+// again. It must be called between steps.
+func (m *Machine) Renew(boot Bootstrap) {
+	kept := m.core.roll
+	core, _ := New(boot.Module, nil)
+	if kept.held {
+		core.roll = kept
+		core.events = append(core.events, kept.kept())
+	}
+	m.boot, m.core, m.renewed = boot, core, true
+}
+
+// Figures gives the counts since the start.
+func (m *Machine) Figures() Figures { return m.core.Figures() }
+
+// Step implements machine.Machine. If the module fails, nothing of the step is done and out.Fail says why.
+func (m *Machine) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
+	defer func() {
+		if r := recover(); r != nil {
+			f, ok := r.(Failure)
+			if !ok {
+				panic(r)
+			}
+			out.Reset()
+			out.Fail = f.Error() + "\n" + string(f.Stack)
+		}
+	}()
+	if !m.started {
+		m.started = true
+		if m.keptBad != nil {
+			out.Log(2, "the kept list is not usable; starting without one", "cause", m.keptBad.Error())
+		}
+	}
+	if m.renewed {
+		m.renewed = false
+		for _, s := range m.order {
+			if m.sessions[s.conn] == s && s.role == proxyRole {
+				m.refuse(s, "other settings are in force, join again", out)
+				delete(m.sessions, s.conn)
+			}
+		}
+	}
+	var events []Event
+	for _, i := range in {
+		events = m.input(now, i, out, events)
+	}
+	events = m.sweep(now, out, events)
+	o := m.core.Step(now, events)
+	m.carry(now, o, out)
+	out.At(o.Wake)
+	out.At(m.swept + m.pause())
+}
+
+// pause is how often silent connections are looked for.
+func (m *Machine) pause() machine.Seconds {
+	return min(m.boot.Handshake, m.boot.Silence, m.boot.ListSilence, m.boot.ProbeTimeout) / 4
+}
+
+func (m *Machine) add(s *session) *session {
+	m.sessions[s.conn] = s
+	m.order = append(m.order, s)
+	return s
+}
+
+func (m *Machine) dial(now machine.Seconds, addr string, s *session, out *machine.Out) *session {
+	m.dialled++
+	s.conn, s.opened, s.heard = m.dialled, now, now
+	out.Dial(s.conn, addr)
+	return m.add(s)
+}
+
+func (m *Machine) input(now machine.Seconds, i machine.Input, out *machine.Out, events []Event) []Event {
+	s := m.sessions[i.Conn]
+	switch i.Kind {
+	case machine.Opened:
+		if s == nil && i.Conn&machine.Dialled == 0 {
+			if len(m.sessions) >= m.boot.MostStreams {
+				m.refuse(&session{conn: i.Conn}, "too many streams, try another coordinator", out)
+				return events
+			}
+			m.add(&session{conn: i.Conn, opened: now, heard: now})
+		} else if s != nil {
+			m.reached(s, out)
+		}
+	case machine.Closed:
+		if s != nil {
+			return m.lost(now, s, out, events, i.Text)
+		}
+	case machine.Data:
+		if s == nil {
+			return events
+		}
+		s.heard = now
+		s.reader.Feed(i.Data)
+		for m.sessions[s.conn] == s {
+			msg, err := s.reader.Next()
+			if msg == nil && err == nil {
+				break
+			}
+			if err == nil {
+				events, err = m.message(now, s, msg, out, events)
+			}
+			if err != nil {
+				m.refuse(s, err.Error(), out)
+				return m.lost(now, s, out, events, err.Error())
+			}
+		}
+	case machine.Told:
+		out.Log(2, "this coordinator takes no words yet", "word", i.Text)
+	}
+	return events
+}
+
+// reached: a connection that we opened stands.
+func (m *Machine) reached(s *session, out *machine.Out) {
+	s.up = true
+	hello := proto.Hello{Version: proto.Version, Name: m.boot.Name, Zone: m.boot.Zone}
+	switch s.role {
+	case listRole:
+		hello.Role = proto.RoleWatcher
+		out.Write(s.conn, proto.Append(nil, hello))
+	case probeRole:
+		hello.Role = proto.RoleCaller
+		out.Write(s.conn, proto.Append(proto.Append(nil, hello), proto.Probe{ID: 1}))
+	case peerRole:
+		hello.Role = proto.RolePeer
+		out.Write(s.conn, proto.Append(nil, hello))
+	}
+}
+
+// refuse says why and closes; the session's events are the caller's to raise.
+func (m *Machine) refuse(s *session, reason string, out *machine.Out) {
+	out.Write(s.conn, proto.Append(nil, proto.Refuse{Reason: reason}))
+	out.Close(s.conn)
+	m.complain(s, reason, out)
+}
+
+// complain logs a refused stream: each reason's first time and then each time that their number has doubled.
+func (m *Machine) complain(s *session, reason string, out *machine.Out) {
+	if len(m.faulted) > 1000 {
+		clear(m.faulted)
+	}
+	m.faulted[reason]++
+	if n := m.faulted[reason]; n&(n-1) == 0 {
+		out.Log(2, "stream refused", "peer", s.name, "conn", uint64(s.conn&^machine.Dialled), "reason", reason, "times", n)
+	}
+}
+
+// lost forgets a session, whoever ended it, and tells the core what it needs to know.
+func (m *Machine) lost(now machine.Seconds, s *session, out *machine.Out, events []Event, why string) []Event {
+	if m.sessions[s.conn] != s {
+		return events
+	}
+	delete(m.sessions, s.conn)
+	switch s.role {
+	case proxyRole:
+		out.Log(1, "proxy left", "proxy", s.name, "why", why)
+		return append(events, Lost{StreamID(s.conn)})
+	case listRole:
+		m.list, m.asks = nil, nil
+		out.Log(2, "list service lost", "why", why)
+		return append(events, ListLost{})
+	case probeRole:
+		m.probing--
+		events = append(events, Probed{EP: s.probe.EP, Delay: now - s.opened})
+		m.probeNext(now, out)
+	case peerRole:
+		if m.peers[s.peer] == s {
+			delete(m.peers, s.peer)
+		}
+	}
+	return events
+}
+
+var errOrder = errors.New("a frame out of order")
+
+// message takes one message of a stream; an error closes that stream, and no other.
+func (m *Machine) message(now machine.Seconds, s *session, msg proto.Message, out *machine.Out, events []Event) ([]Event, error) {
+	if r, ok := msg.(proto.Refuse); ok {
+		return events, fmt.Errorf("the other side refused: %s", r.Reason)
+	}
+	switch s.role {
+	case stranger:
+		h, ok := msg.(proto.Hello)
+		if !ok {
+			return events, fmt.Errorf("%w: %T before the hello", errOrder, msg)
+		}
+		return m.hello(now, s, h, out, events)
+	case proxyRole:
+		switch x := msg.(type) {
+		case proto.Answer:
+			return append(events, Answer{StreamID(s.conn), x.Mark}), nil
+		case proto.Sums:
+			out.Write(s.conn, proto.Append(nil, proto.Heard{}))
+			return append(events, Sums{StreamID(s.conn), x}), nil
+		}
+	case listRole:
+		switch x := msg.(type) {
+		case proto.Welcome:
+			s.reader.Open()
+			s.ready = true
+			for _, a := range m.asks {
+				out.Write(s.conn, proto.Append(nil, a))
+			}
+			m.asks = nil
+			return events, nil
+		case proto.List:
+			if !s.ready {
+				return events, fmt.Errorf("%w: a list before the welcome", errOrder)
+			}
+			return append(events, News{x}), nil
+		}
+	case probeRole:
+		switch x := msg.(type) {
+		case proto.Welcome:
+			return events, nil
+		case proto.ProbeReply:
+			delete(m.sessions, s.conn)
+			m.probing--
+			out.Close(s.conn)
+			events = append(events, Probed{EP: s.probe.EP, OK: x.Status == proto.OK, Busy: x.Status == proto.PushedBack,
+				Delay: now - s.opened})
+			m.probeNext(now, out)
+			return events, nil
+		}
+	case peerRole:
+		switch x := msg.(type) {
+		case proto.Welcome:
+			s.ready = true
+			return events, nil
+		case proto.PeerNote:
+			return append(events, PeerNote{choice.Peer(x.From), x.Data}), nil
+		}
+	}
+	return events, fmt.Errorf("%w: %T", errOrder, msg)
+}
+
+// goodName keeps names fit for logs, traces and terminals.
+func goodName(s string) bool {
+	return s != "" && len(s) <= 64 && !strings.ContainsFunc(s, func(r rune) bool { return unicode.IsSpace(r) || !unicode.IsPrint(r) })
+}
+
+func (m *Machine) hello(now machine.Seconds, s *session, h proto.Hello, out *machine.Out, events []Event) ([]Event, error) {
+	switch {
+	case h.Version != proto.Version:
+		return events, fmt.Errorf("version %d of the protocol, %d wanted", h.Version, proto.Version)
+	case !goodName(h.Name) || h.Zone != "" && !goodName(h.Zone):
+		return events, errors.New("a name or zone that is empty, over 64 bytes or not printable")
+	}
+	s.name = h.Name
+	s.reader.Open()
+	welcome := proto.Welcome{Version: proto.Version, Name: m.boot.Name, Period: m.boot.Module.Num("report_period", 1)}
+	for i := range int(m.boot.Module.Num("method.n", 1)) {
+		welcome.Methods = append(welcome.Methods, m.boot.Module.Word(fmt.Sprintf("method.%d.name", i)))
+	}
+	switch h.Role {
+	case proto.RoleProxy:
+		if !m.knownZone(h.Zone) {
+			return events, fmt.Errorf("zone %q is not among those set here", h.Zone)
+		}
+		s.role = proxyRole
+		out.Write(s.conn, proto.Append(nil, welcome))
+		out.Log(1, "proxy joined", "proxy", h.Name, "zone", h.Zone, "rate", h.Rate, "holds", h.Holds)
+		return append(events, Join{StreamID(s.conn), h}), nil
+	case proto.RolePeer:
+		s.role = peerRole
+		s.ready = true
+		out.Write(s.conn, proto.Append(nil, welcome))
+		return events, nil
+	}
+	return events, fmt.Errorf("role %d is not served here", h.Role)
+}
+
+func (m *Machine) knownZone(zone string) bool {
+	n := int(m.boot.Module.Num("zones.n", 0))
+	for i := range n {
+		if m.boot.Module.Word(fmt.Sprintf("zones.%d", i)) == zone {
+			return true
+		}
+	}
+	return n == 0
+}
+
+// sweep closes what has been silent for too long: strangers, proxies and the list service whose link died without a
+// word, probes that nobody answers.
+func (m *Machine) sweep(now machine.Seconds, out *machine.Out, events []Event) []Event {
+	if now < m.swept+m.pause() {
+		return events
+	}
+	m.swept = now
+	known, kept := len(m.order), m.order[:0]
+	for _, s := range m.order {
+		if m.sessions[s.conn] != s {
+			continue
+		}
+		kept = append(kept, s)
+		silent := now - s.heard
+		switch {
+		case s.role == stranger && now-s.opened > m.boot.Handshake:
+			m.refuse(s, "no hello in time", out)
+		case s.role == proxyRole && silent > m.boot.Silence:
+			m.refuse(s, "silent for too long", out)
+		case s.role == listRole && silent > m.boot.ListSilence,
+			s.role == probeRole && now-s.opened > m.boot.ProbeTimeout,
+			s.role == peerRole && !s.ready && now-s.opened > m.boot.Handshake:
+			out.Kill(s.conn)
+		default:
+			continue
+		}
+		events = m.lost(now, s, out, events, "silent for too long")
+	}
+	// Sessions that a lost one brought (the next probe) were added behind; they stay.
+	m.order = append(kept, m.order[known:]...)
+	return events
+}
+
+func (m *Machine) probeNext(now machine.Seconds, out *machine.Out) {
+	for len(m.queued) > 0 && m.probing < m.boot.MostProbes {
+		t := m.queued[0]
+		m.queued = m.queued[1:]
+		m.probing++
+		m.dial(now, t.Addr, &session{role: probeRole, probe: t}, out)
+	}
+}
+
+// carry does what the core wants done.
+func (m *Machine) carry(now machine.Seconds, o Orders, out *machine.Out) {
+	for _, d := range o.Drops {
+		s := m.sessions[machine.Conn(d.Stream)]
+		if s != nil {
+			m.refuse(s, d.Reason, out)
+			delete(m.sessions, s.conn)
+		}
+	}
+	for _, x := range o.Sends {
+		out.Write(machine.Conn(x.Stream), proto.Append(nil, x.Push))
+	}
+	if o.ListBad != nil {
+		out.Log(3, "list frame refused, the list stays as it was", "cause", o.ListBad.Error())
+		if m.list != nil {
+			m.refuse(m.list, o.ListBad.Error(), out)
+			delete(m.sessions, m.list.conn)
+			m.list, m.asks = nil, nil
+		}
+	}
+	if o.Watch != nil {
+		m.askList(now, *o.Watch, out)
+	}
+	if o.Fetch {
+		m.askList(now, proto.Fetch{}, out)
+	}
+	for _, t := range o.Probes {
+		if len(m.queued) < 4*m.boot.MostProbes { // the module asks again for one that got lost here
+			m.queued = append(m.queued, t)
+		}
+	}
+	m.probeNext(now, out)
+	for _, t := range o.Tells {
+		m.tell(now, t, out)
+	}
+	for _, text := range o.Says {
+		out.Log(1, text)
+	}
+	if o.Kept != nil {
+		out.Save(KeptList, o.Kept)
+	}
+}
+
+func (m *Machine) askList(now machine.Seconds, ask proto.Message, out *machine.Out) {
+	if m.list != nil && m.list.ready {
+		out.Write(m.list.conn, proto.Append(nil, ask))
+		return
+	}
+	if m.list != nil && now-m.list.opened > m.boot.ListSilence {
+		out.Kill(m.list.conn)
+		delete(m.sessions, m.list.conn)
+		m.list, m.asks = nil, nil
+	}
+	if len(m.asks) < 4 {
+		m.asks = append(m.asks, ask)
+	}
+	if m.list == nil {
+		m.list = m.dial(now, m.boot.ListAddr, &session{role: listRole, name: "list"}, out)
+	}
+}
+
+// tell sends to peers that are reached; what can't go now is lost, as their protocol allows.
+func (m *Machine) tell(now machine.Seconds, t choice.Tell, out *machine.Out) {
+	for p := range choice.Peer(int(m.boot.Module.Num("coordinators", 1))) {
+		addr := m.boot.Peers[p]
+		if addr == "" || t.To >= 0 && t.To != p || len(t.Data) > proto.MostWord {
+			continue
+		}
+		s := m.peers[p]
+		if s == nil {
+			m.peers[p] = m.dial(now, addr, &session{role: peerRole, peer: p, name: addr}, out)
+		} else if s.ready {
+			out.Write(s.conn, proto.Append(nil, proto.PeerNote{From: uint64(m.boot.Module.Num("self", 0)), Data: string(t.Data)}))
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearse/day.go
@@ -0,0 +1,501 @@
+// Package rehearse plays days: a fleet, its traffic, and what happens when, from a script. The same script plays on
+// sockets, with every coordinator a process of its own, and in virtual time. docs/days.md tells how to write one.
+package rehearse
+
+import (
+	"embed"
+	"fmt"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gingerfork/choice"
+	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/rules"
+	"gingerfork/internal/standin"
+)
+
+//go:embed days
+var shipped embed.FS
+
+// Shipped gives the names of the days that come with the program.
+func Shipped() (all []string) {
+	entries, _ := shipped.ReadDir("days")
+	for _, e := range entries {
+		if name, ok := strings.CutSuffix(e.Name(), ".day"); ok {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+// File gives a shipped file's text; days name their settings so.
+func File(name string) ([]byte, error) { return shipped.ReadFile(path.Join("days", name)) }
+
+// Day is a script that was read.
+type Day struct {
+	Name         string
+	Settings     string // the file, as the script names it
+	Trade        *bootstrap.Trade
+	Length       float64
+	Seed         uint64
+	Coordinators int
+	Servers      []ServerGroup
+	Fronts       []FrontGroup
+	LineStill    float64
+	Connect      float64
+	KeepAway     float64
+	Notice       float64 // until the list service knows that a server's process ended
+	Same, Cross  float64 // latencies within and between zones, in virtual time
+	Mix          []float64
+	Acts         []Act
+	lines        []bootstrap.Line // of the settings
+}
+
+// ServerGroup is so many equal servers.
+type ServerGroup struct {
+	N        int
+	Zone     string
+	Kind     string
+	Capacity float64
+	Workers  int
+	Queue    int
+	Weight   float64
+}
+
+// FrontGroup is so many equal front ends.
+type FrontGroup struct {
+	N    int
+	Zone string
+	Rate float64
+}
+
+// Act is a line of the script: what happens when, to whom, for how long.
+type Act struct {
+	Line bootstrap.Line
+	At   float64
+	Verb string
+	Of   string // whom: servers, frontends, coordinators, list, zone, links, load
+	Pick Pick
+	By   string
+	For  float64 // 0: for good
+	More map[string]float64
+}
+
+// Pick says which of a kind are meant.
+type Pick struct {
+	All   bool
+	N     int
+	Part  float64
+	Zone  string
+	Kind  string
+	Index []int
+}
+
+// verbs say whom each may happen to, and whether it takes a `by`.
+var verbs = map[string]struct {
+	of []string
+	by string // "": none, else what it is
+}{
+	"kill":   {[]string{"servers", "frontends", "coordinators"}, ""},
+	"vanish": {[]string{"servers"}, ""},
+	"stall":  {[]string{"frontends", "coordinators"}, ""},
+	"hang":   {[]string{"servers"}, ""},
+	"fast":   {[]string{"servers"}, ""},
+	"part":   {[]string{"servers"}, "share"},
+	"method": {[]string{"servers"}, "method"},
+	"from":   {[]string{"servers"}, "coordinator"},
+	"slow":   {[]string{"servers", "streams"}, "factor"},
+	"dear":   {[]string{"servers"}, "factor"},
+	"shake":  {[]string{"servers"}, "time"},
+	"conns":  {[]string{"servers"}, "whole"},
+	"pauses": {[]string{"servers"}, "time"},
+	"flap":   {[]string{"servers"}, "time"},
+	"deploy": {[]string{"servers"}, ""},
+	"break":  {[]string{"streams"}, ""},
+	"late":   {[]string{"list", "streams"}, "time"},
+	"stale":  {[]string{"list"}, ""},
+	"empty":  {[]string{"list"}, ""},
+	"one":    {[]string{"list"}, ""},
+	"fail":   {[]string{"list"}, ""},
+	"cut":    {[]string{"zone", "servers", "list"}, ""},
+	"lose":   {[]string{"zone"}, ""},
+	"load":   {[]string{"frontends"}, "share"},
+}
+
+// Words gives the verbs, for messages and documentation.
+func Words() (all []string) {
+	for v := range verbs {
+		all = append(all, v)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Settings gives the text of the settings file that a day names.
+type Settings func(name string) ([]byte, error)
+
+// Read reads a script. Every fault is reported.
+func Read(file, text string, settings Settings) (*Day, error) {
+	lines, faults := bootstrap.Lex(file, text)
+	d := &Day{Seed: 1, Coordinators: 1, LineStill: 0.0002, Connect: 0.25, KeepAway: 5, Notice: 1, Same: 0.0003, Cross: 0.0006}
+	fault := func(l bootstrap.Line, format string, args ...any) { faults = append(faults, l.Fault(format, args...)) }
+	for _, l := range lines {
+		w := l.Words
+		var err error
+		time := func(into *float64) {
+			if len(w) != 2 {
+				err = fmt.Errorf("%s takes one time", w[0])
+				return
+			}
+			*into, err = bootstrap.Duration(w[1])
+		}
+		switch w[0] {
+		case "day":
+			if d.Name = strings.Join(w[1:], " "); len(w) != 2 {
+				err = fmt.Errorf("day takes one name")
+			}
+		case "settings":
+			if len(w) != 2 {
+				err = fmt.Errorf("settings takes one file")
+				break
+			}
+			d.Settings = w[1]
+			var data []byte
+			if data, err = settings(w[1]); err == nil {
+				own, bad := bootstrap.Lex(w[1], string(data))
+				trade, more := bootstrap.Parse(w[1], own)
+				faults = append(append(faults, bad...), more...)
+				d.Trade, d.lines = trade, own
+			}
+		case "length":
+			time(&d.Length)
+		case "seed":
+			if len(w) != 2 {
+				err = fmt.Errorf("seed takes one number")
+				break
+			}
+			d.Seed, err = strconv.ParseUint(w[1], 10, 63)
+		case "coordinators":
+			if len(w) != 2 {
+				err = fmt.Errorf("coordinators takes one number")
+				break
+			}
+			d.Coordinators, err = bootstrap.Whole(w[1], 1, 100)
+		case "line-still":
+			time(&d.LineStill)
+		case "connect-timeout":
+			time(&d.Connect)
+		case "keep-away":
+			time(&d.KeepAway)
+		case "notice":
+			time(&d.Notice)
+		case "latency":
+			if len(w) != 3 {
+				err = fmt.Errorf("latency takes two times, within and between zones")
+				break
+			}
+			if d.Same, err = bootstrap.Duration(w[1]); err == nil {
+				d.Cross, err = bootstrap.Duration(w[2])
+			}
+		case "mix":
+			for _, x := range w[1:] {
+				var v float64
+				if v, err = bootstrap.Share(x); err != nil {
+					break
+				}
+				d.Mix = append(d.Mix, v)
+			}
+		case "servers":
+			var g ServerGroup
+			if g, err = readServers(w); err == nil {
+				d.Servers = append(d.Servers, g)
+			}
+		case "frontends":
+			var g FrontGroup
+			if g, err = readFronts(w); err == nil {
+				d.Fronts = append(d.Fronts, g)
+			}
+		case "at":
+			var a Act
+			if a, err = readAct(l); err == nil {
+				d.Acts = append(d.Acts, a)
+			}
+		default:
+			known := []string{"day", "settings", "length", "seed", "coordinators", "line-still", "connect-timeout", "keep-away",
+				"notice", "latency", "mix", "servers", "frontends", "at"}
+			err = fmt.Errorf("%s is no word of a day%s", w[0], like(w[0], known))
+		}
+		if err != nil {
+			fault(l, "%v", err)
+		}
+	}
+	whole := bootstrap.Fault{File: file, Line: 1}
+	lack := func(what string) { whole.What = what; faults = append(faults, whole) }
+	if d.Trade == nil {
+		lack("it names no settings (such as: settings perth.conf)")
+	}
+	if d.Length <= 0 || d.Length > 86400 {
+		lack("it has no length of up to 24h (such as: length 60s)")
+	}
+	if len(d.Servers) == 0 || len(d.Fronts) == 0 {
+		lack("it has no servers, or no frontends")
+	}
+	if d.Trade != nil {
+		d.together(fault, lines)
+	}
+	faults.Sort()
+	return d, faults.Err()
+}
+
+func like(w string, known []string) string {
+	if n := bootstrap.Nearest(w, known); n != "" {
+		return " (did you mean " + n + "?)"
+	}
+	return ""
+}
+
+// together checks what only shows when the script and its settings stand side by side.
+func (d *Day) together(fault func(bootstrap.Line, string, ...any), lines []bootstrap.Line) {
+	zones := d.Zones()
+	for _, l := range lines {
+		for i, w := range l.Words[:len(l.Words)-1] {
+			if w == "zone" && l.Words[0] != "settings" && !slices.Contains(zones, l.Words[i+1]) {
+				fault(l, "zone %s is not in the settings%s", l.Words[i+1], like(l.Words[i+1], zones))
+			}
+		}
+		if l.Words[0] == "mix" && len(l.Words)-1 != len(d.Trade.Methods) {
+			fault(l, "mix has %d shares, the settings have %d methods", len(l.Words)-1, len(d.Trade.Methods))
+		}
+	}
+	for _, a := range d.Acts {
+		if a.Verb == "method" && !slices.Contains(d.Trade.Methods, a.By) {
+			fault(a.Line, "the settings have no method %s%s", a.By, like(a.By, d.Trade.Methods))
+		}
+	}
+	for len(d.Mix) < len(d.Trade.Methods) {
+		d.Mix = append(d.Mix, 1/float64(len(d.Trade.Methods)))
+	}
+}
+
+// Zones are the zones of the settings.
+func (d *Day) Zones() (all []string) {
+	b := choice.Bootstrap{Values: d.Trade.Values}
+	for i := range int(b.Num("zones.n", 0)) {
+		all = append(all, b.Word(fmt.Sprintf("zones.%d", i)))
+	}
+	return all
+}
+
+// pairs reads the rest of a line as pairs of name and value.
+func pairs(w []string, take func(name, value string) error) error {
+	if len(w)%2 != 0 {
+		return fmt.Errorf("%s has no value", w[len(w)-1])
+	}
+	for i := 0; i < len(w); i += 2 {
+		if err := take(w[i], w[i+1]); err != nil {
+			return fmt.Errorf("%s: %w", w[i], err)
+		}
+	}
+	return nil
+}
+
+func readServers(w []string) (g ServerGroup, err error) {
+	g = ServerGroup{Kind: "std", Workers: 2, Queue: 30, Weight: 1, Capacity: 20}
+	if len(w) < 2 {
+		return g, fmt.Errorf("servers takes their number")
+	}
+	if g.N, err = bootstrap.Whole(w[1], 1, 100000); err != nil {
+		return g, err
+	}
+	err = pairs(w[2:], func(name, v string) (err error) {
+		switch name {
+		case "zone":
+			g.Zone = v
+		case "kind":
+			g.Kind = v
+		case "capacity":
+			g.Capacity, err = bootstrap.Number(v)
+		case "workers":
+			g.Workers, err = bootstrap.Whole(v, 1, 10000)
+		case "queue":
+			g.Queue, err = bootstrap.Whole(v, 0, 1e6)
+		case "weight":
+			g.Weight, err = bootstrap.Number(v)
+		default:
+			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "kind", "capacity", "workers", "queue", "weight"}))
+		}
+		return err
+	})
+	return g, err
+}
+
+func readFronts(w []string) (g FrontGroup, err error) {
+	g = FrontGroup{Rate: 10}
+	if len(w) < 2 {
+		return g, fmt.Errorf("frontends takes their number")
+	}
+	if g.N, err = bootstrap.Whole(w[1], 1, 100000); err != nil {
+		return g, err
+	}
+	err = pairs(w[2:], func(name, v string) (err error) {
+		switch name {
+		case "zone":
+			g.Zone = v
+		case "rate":
+			g.Rate, err = bootstrap.Number(v)
+		default:
+			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "rate"}))
+		}
+		return err
+	})
+	return g, err
+}
+
+// readAct reads: at TIME VERB OF [PICK] [by X] [for TIME] [drain TIME] [down TIME] [every TIME].
+func readAct(l bootstrap.Line) (a Act, err error) {
+	w := l.Words
+	a = Act{Line: l, More: map[string]float64{}}
+	if len(w) < 4 {
+		return a, fmt.Errorf("at takes a time, what happens and to whom (such as: at 10s kill servers 2 for 5s)")
+	}
+	if a.At, err = bootstrap.Duration(w[1]); err != nil {
+		return a, err
+	}
+	a.Verb, a.Of = w[2], w[3]
+	v, known := verbs[a.Verb]
+	if !known {
+		return a, fmt.Errorf("%s is nothing that can happen%s", a.Verb, like(a.Verb, Words()))
+	}
+	if !slices.Contains(v.of, a.Of) {
+		return a, fmt.Errorf("%s happens to %s, not to %s", a.Verb, strings.Join(v.of, " or "), a.Of)
+	}
+	rest := w[4:]
+	picked := false
+	for len(rest) > 0 {
+		word := rest[0]
+		if slices.Contains([]string{"by", "for", "drain", "down", "every", "zone", "kind", "number"}, word) && len(rest) < 2 {
+			return a, fmt.Errorf("%s has no value", word)
+		}
+		switch word {
+		case "by":
+			a.By = rest[1]
+			rest = rest[2:]
+		case "for":
+			if a.For, err = bootstrap.Duration(rest[1]); err != nil {
+				return a, err
+			}
+			rest = rest[2:]
+		case "drain", "down", "every":
+			var t float64
+			if t, err = bootstrap.Duration(rest[1]); err != nil {
+				return a, err
+			}
+			a.More[word] = t
+			rest = rest[2:]
+		case "zone":
+			a.Pick.Zone, picked = rest[1], true
+			rest = rest[2:]
+		case "kind":
+			a.Pick.Kind, picked = rest[1], true
+			rest = rest[2:]
+		case "number":
+			for _, x := range strings.Split(rest[1], ",") {
+				var n int
+				if n, err = bootstrap.Whole(x, 0, 1e6); err != nil {
+					return a, err
+				}
+				a.Pick.Index = append(a.Pick.Index, n)
+			}
+			picked = true
+			rest = rest[2:]
+		case "all":
+			a.Pick.All, picked = true, true
+			rest = rest[1:]
+		default:
+			switch {
+			case strings.HasSuffix(word, "%"):
+				a.Pick.Part, err = bootstrap.Share(word)
+			case a.Of == "zone":
+				a.Pick.Zone = word
+			default:
+				a.Pick.N, err = bootstrap.Whole(word, 1, 1e6)
+			}
+			if err != nil {
+				return a, err
+			}
+			picked = true
+			rest = rest[1:]
+		}
+	}
+	if !picked {
+		a.Pick.All = true
+	}
+	switch v.by {
+	case "":
+		if a.By != "" {
+			err = fmt.Errorf("%s takes no by", a.Verb)
+		}
+	case "share":
+		var x float64
+		if a.Verb == "load" {
+			x, err = load(a.By)
+		} else {
+			x, err = bootstrap.Share(a.By)
+		}
+		a.By = strconv.FormatFloat(x, 'g', -1, 64)
+	case "time":
+		var x float64
+		x, err = bootstrap.Duration(a.By)
+		a.By = strconv.FormatFloat(x, 'g', -1, 64)
+	case "factor":
+		var x float64
+		if x, err = bootstrap.Number(a.By); err == nil && x <= 0 {
+			err = fmt.Errorf("by %s is no factor above 0", a.By)
+		}
+	case "whole":
+		_, err = bootstrap.Whole(a.By, 0, 1e6)
+	}
+	if err == nil && v.by != "" && a.By == "" {
+		err = fmt.Errorf("%s needs by and a %s", a.Verb, v.by)
+	}
+	if a.For == 0 && slices.Contains([]string{"stall", "flap", "pauses", "stale", "empty", "one"}, a.Verb) {
+		err = fmt.Errorf("%s needs for and a time", a.Verb)
+	}
+	return a, err
+}
+
+// load reads a percentage that may be above 100%.
+func load(w string) (float64, error) {
+	num, ok := strings.CutSuffix(w, "%")
+	v, err := bootstrap.Number(num)
+	if !ok || err != nil {
+		return 0, fmt.Errorf("%q is no percentage", w)
+	}
+	return v / 100, nil
+}
+
+// Limits are the figures of the rules, from the settings.
+func (d *Day) Limits() rules.Limits {
+	b := choice.Bootstrap{Values: d.Trade.Values}
+	l := rules.Limits{Bare: b.Num("bare_limit", 1), Grace: b.Num("drain_grace", 1), WarmAfter: b.Num("warm_after", 1),
+		FallWindow: b.Num("fall_window", 1), Room: int(b.Num("channel_room", 0)), Messages: int(b.Num("messages", 0)),
+		Span: b.Num("messages_span", 10), OnlyDraining: b.Flag("only_draining_binds")}
+	for i, name := range d.Trade.Methods {
+		at := fmt.Sprintf("method.%d.", i)
+		l.Methods = append(l.Methods, rules.Method{Name: name, NonIdempotent: b.Word(at+"effect") == "non-idempotent",
+			Tokened: b.Word(at+"effect") == "tokened", Window: b.Num(at+"window", 0), Criticality: b.Num(at+"criticality", 1),
+			SoftDeadline: b.Num(at+"soft_deadline", 1)})
+	}
+	return l
+}
+
+// methods are the methods as the front ends know them.
+func (d *Day) methods() []standin.MethodTrade {
+	all := standin.Methods(d.Trade.Methods, choice.Bootstrap{Values: d.Trade.Values})
+	for i := range all {
+		all[i].Share = d.Mix[i]
+	}
+	return all
+}
--- /dev/null
+++ b/internal/rehearse/play.go
@@ -0,0 +1,459 @@
+package rehearse
+
+import (
+	"fmt"
+	"hash/crc32"
+	"slices"
+	"strconv"
+
+	"gingerfork/choice"
+	"gingerfork/internal/coordinator"
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+	"gingerfork/internal/rules"
+	"gingerfork/internal/standin"
+	"gingerfork/internal/trace"
+	"gingerfork/internal/virtual"
+)
+
+// Stage is where a day plays: sockets, or virtual time.
+type Stage interface {
+	Now() machine.Seconds
+	At(at machine.Seconds, do func())
+	Start(name string)
+	Kill(name string)
+	Stall(name string, span machine.Seconds)
+	Tell(name, text string)
+	Hinder(name string, h virtual.Hindrance, match func(a, b string) bool)
+	Clear(name string)
+	Reset(match func(a, b string) bool)
+}
+
+// Result is what a day came to.
+type Result struct {
+	Day     *Day
+	Report  rules.Report
+	Records []trace.Record
+	Fails   []string // of machines that failed: a defect of the program, whatever the rules say
+	Steps   int
+}
+
+// cast is who plays in a day.
+type cast struct {
+	day     *Day
+	stage   Stage
+	record  func(trace.Record)
+	servers []*actor
+	fronts  []*actor
+	coords  []*actor
+	all     map[string]*actor
+	draws   uint32
+	count   int
+	begin   machine.Seconds
+}
+
+type actor struct {
+	name  string
+	zone  string
+	kind  string
+	ep    proto.EP
+	at    int
+	rate  float64
+	group ServerGroup
+	up    bool
+	lives int
+	down  int // how many troubles keep it down
+}
+
+func newCast(d *Day) *cast {
+	c := &cast{day: d, all: map[string]*actor{}}
+	zones := d.Zones()
+	zone := func(z string, i int) string {
+		if z == "" {
+			return zones[i%len(zones)]
+		}
+		return z
+	}
+	put := func(to *[]*actor, a *actor) {
+		*to = append(*to, a)
+		c.all[a.name] = a
+	}
+	for i := range d.Coordinators {
+		put(&c.coords, &actor{name: fmt.Sprintf("c%d", i), zone: zones[i%len(zones)], at: i})
+	}
+	for _, g := range d.Servers {
+		for range g.N {
+			i := len(c.servers)
+			put(&c.servers, &actor{name: fmt.Sprintf("s%d", i), zone: zone(g.Zone, i), kind: g.Kind, ep: proto.EP(i + 1), at: i, group: g})
+		}
+	}
+	for _, g := range d.Fronts {
+		for range g.N {
+			i := len(c.fronts)
+			put(&c.fronts, &actor{name: fmt.Sprintf("f%d", i), zone: zone(g.Zone, i), at: i, rate: g.Rate})
+		}
+	}
+	c.all["list"] = &actor{name: "list", zone: zones[0]}
+	return c
+}
+
+func (c *cast) draw() float64 {
+	c.draws++
+	return float64(crc32.ChecksumIEEE([]byte(strconv.FormatUint(c.day.Seed, 10)+"/"+strconv.Itoa(int(c.draws))))) / (1 << 32)
+}
+
+// listings is what the list service knows at the beginning; addr tells where servers are reached.
+func (c *cast) listings(addr func(a *actor) string) (all []standin.Listing) {
+	for _, s := range c.servers {
+		all = append(all, standin.Listing{EP: s.ep, State: proto.ServerOpen, Kind: s.kind, Zone: s.zone, Weight: s.group.Weight,
+			Addr: addr(s), Stamp: 1})
+	}
+	return all
+}
+
+func (c *cast) server(a *actor, store *standin.Store) *standin.Server {
+	b := choice.Bootstrap{Values: c.day.Trade.Values}
+	a.lives++
+	return standin.NewServer(standin.ServerTrade{EP: a.ep, Zone: a.zone, Capacity: a.group.Capacity, Workers: a.group.Workers,
+		QueueMost: a.group.Queue, Cold: a.lives > 1, ColdShare: b.Num("cold_share", 0.3), WarmAfter: b.Num("warm_after", 10),
+		FallMultiple: b.Num("fall_multiple", 3), FallWindow: b.Num("fall_window", 1), Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives), Store: store})
+}
+
+func (c *cast) front(a *actor, coords []string) *standin.FrontEnd {
+	b := choice.Bootstrap{Values: c.day.Trade.Values}
+	var order []string
+	for i := range coords {
+		order = append(order, coords[(a.at+i)%len(coords)])
+	}
+	a.lives++
+	return standin.NewFrontEnd(standin.FrontTrade{Name: a.name, Zone: a.zone, Coordinators: order, Methods: c.day.methods(),
+		Rate: a.rate, Pick: b.Word("pick"), Strikes: int(b.Num("strikes", 0)), KeepAway: c.day.KeepAway, TryWait: b.Num("try_wait", 0.8),
+		LineStill: c.day.LineStill, LevelRate: b.Word("level_kind") == "rate", Period: b.Num("report_period", 1),
+		ConnectTimeout: c.day.Connect, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives)})
+}
+
+// store is what servers share for tokens, as the settings' groups allow.
+func (c *cast) store() *standin.Store {
+	b := choice.Bootstrap{Values: c.day.Trade.Values}
+	s := &standin.Store{}
+	for i := range c.day.Trade.Methods {
+		s.Window = max(s.Window, b.Num(fmt.Sprintf("method.%d.window", i), 0))
+	}
+	return s
+}
+
+// coordinator is what a coordinator is started with.
+func (c *cast) coordinator(a *actor, now machine.Seconds, listen, list string) coordinator.Bootstrap {
+	t := c.day.Trade
+	b := t.Coordinator(now)
+	values := make(map[string]any, len(b.Values))
+	for k, v := range b.Values {
+		values[k] = v
+	}
+	values["zone"], values["self"], values["coordinators"] = a.zone, float64(a.at), float64(c.day.Coordinators)
+	b.Values = values
+	a.lives++
+	b.Seed = standin.Seed(c.day.Seed, a.name) + uint64(a.lives)
+	return coordinator.Bootstrap{Name: a.name, Zone: a.zone, ListAddr: list, Module: b, Handshake: t.Num("handshake"),
+		Silence: t.Num("stream-silence"), ListSilence: t.Num("list-silence"), ProbeTimeout: t.Num("probe-timeout"),
+		MostStreams: int(t.Num("streams")), MostProbes: int(t.Num("probes-at-once"))}
+}
+
+// start brings all on the stage, and puts the script's acts on the clock.
+func (c *cast) start() {
+	c.begin = c.stage.Now()
+	c.up(c.all["list"])
+	for _, s := range c.servers {
+		c.up(s)
+	}
+	for _, a := range c.coords {
+		c.up(a)
+	}
+	for _, f := range c.fronts {
+		c.up(f)
+	}
+	for _, a := range c.day.Acts {
+		c.stage.At(c.begin+a.At, func() { c.act(a) })
+	}
+}
+
+func (c *cast) up(a *actor) {
+	a.up = true
+	if a.name[0] == 'c' {
+		c.record(trace.Record{T: c.stage.Now(), Kind: trace.Boot, Who: a.name})
+	}
+	c.stage.Start(a.name)
+}
+
+// kill ends an actor's process; raise brings it back once nothing keeps it down. Troubles overlap.
+func (c *cast) kill(a *actor) {
+	if a.down++; a.down > 1 {
+		return
+	}
+	a.up = false
+	c.stage.Kill(a.name)
+	r := trace.Record{T: c.stage.Now(), Kind: trace.Kill, Who: a.name}
+	if a.ep > 0 {
+		r = trace.Record{T: c.stage.Now(), Kind: trace.Gone, EP: a.ep}
+	}
+	c.record(r)
+}
+
+func (c *cast) raise(a *actor) {
+	if a.down--; a.down > 0 {
+		return
+	}
+	c.up(a)
+	if a.ep > 0 {
+		c.list("restart %d", a.ep)
+	}
+}
+
+func (c *cast) list(format string, args ...any) { c.stage.Tell("list", fmt.Sprintf(format, args...)) }
+
+func (c *cast) after(span machine.Seconds, do func()) { c.stage.At(c.stage.Now()+span, do) }
+
+// then does something at the end of an act that has one.
+func (c *cast) then(a Act, do func()) {
+	if a.For > 0 {
+		c.after(a.For, do)
+	}
+}
+
+// pick chooses whom an act hits: at random by the day's seed, where only a number or a part is given.
+func (c *cast) pick(from []*actor, p Pick) (hit []*actor) {
+	for _, a := range from {
+		if (p.Zone == "" || a.zone == p.Zone) && (p.Kind == "" || a.kind == p.Kind) && (len(p.Index) == 0 || slices.Contains(p.Index, a.at)) {
+			hit = append(hit, a)
+		}
+	}
+	n := len(hit)
+	if p.Part > 0 {
+		n = int(p.Part*float64(len(hit)) + 0.5)
+	} else if p.N > 0 {
+		n = min(p.N, n)
+	}
+	for i := range n {
+		j := i + int(c.draw()*float64(len(hit)-i))
+		hit[i], hit[j] = hit[j], hit[i]
+	}
+	return hit[:n]
+}
+
+func (c *cast) act(a Act) {
+	c.count++
+	id := strconv.Itoa(c.count)
+	text := ""
+	for i, w := range a.Line.Words[2:] {
+		if i > 0 {
+			text += " "
+		}
+		text += w
+	}
+	c.record(trace.Record{T: c.stage.Now(), Kind: trace.Trouble, Text: text})
+	var hit []*actor
+	switch a.Of {
+	case "servers":
+		hit = c.pick(c.servers, a.Pick)
+	case "frontends", "streams":
+		hit = c.pick(c.fronts, a.Pick)
+	case "coordinators":
+		hit = c.pick(c.coords, a.Pick)
+	case "zone":
+		hit = c.pick(c.servers, a.Pick)
+	}
+	in := map[string]bool{}
+	for _, x := range hit {
+		in[x.name] = true
+	}
+	by, _ := strconv.ParseFloat(a.By, 64)
+	switch a.Verb {
+	case "kill", "vanish", "lose":
+		for _, x := range hit {
+			c.fall(x, a.Verb != "vanish")
+			c.then(a, func() { c.raise(x) })
+		}
+	case "stall":
+		for _, x := range hit {
+			c.stage.Stall(x.name, a.For)
+		}
+	case "hang", "fast", "part", "method", "from", "dear", "shake", "conns":
+		c.afflict(a, hit)
+	case "pauses":
+		for _, x := range hit {
+			for t := 0.0; t < a.For; t += 1 {
+				c.after(t+c.draw()*0.5, func() { c.stage.Tell(x.name, "hang") })
+				c.after(t+0.5+min(by, 0.5), func() { c.stage.Tell(x.name, "heal hang") })
+			}
+		}
+	case "flap":
+		for _, x := range hit {
+			for t := 0.0; t < a.For; t += 2 * max(by, 0.1) {
+				c.after(t, func() { c.fall(x, true) })
+				c.after(t+max(by, 0.1), func() { c.raise(x) })
+			}
+		}
+	case "deploy":
+		c.deploy(a, hit)
+	case "slow":
+		if a.Of == "servers" {
+			c.afflict(a, hit)
+			break
+		}
+		usual := choice.Bootstrap{Values: c.day.Trade.Values}.Num("push_time", 0.1)
+		c.hinder(a, id, virtual.Hindrance{Delay: (by - 1) * usual}, c.streams(in))
+	case "late":
+		if a.Of == "list" {
+			c.list("late %g", by)
+			c.then(a, func() { c.list("late 0") })
+			break
+		}
+		c.hinder(a, id, virtual.Hindrance{Delay: by}, c.streams(in))
+	case "break":
+		c.stage.Reset(c.streams(in))
+	case "stale", "fail":
+		c.list("%s on", a.Verb)
+		c.then(a, func() { c.list("%s off", a.Verb) })
+	case "empty", "one":
+		if a.Verb == "one" {
+			c.list("show %d", c.servers[int(c.draw()*float64(len(c.servers)))].ep)
+		} else {
+			c.list("show none")
+		}
+		c.then(a, func() { c.list("show all") })
+	case "cut":
+		c.hinder(a, id, virtual.Hindrance{Cut: true}, c.across(a, in))
+	case "load":
+		for _, x := range hit {
+			c.stage.Tell(x.name, fmt.Sprintf("rate %g", x.rate*by))
+			c.then(a, func() { c.stage.Tell(x.name, fmt.Sprintf("rate %g", x.rate)) })
+		}
+	}
+}
+
+// fall ends a process; where the list service is to know, it does after the day's notice.
+func (c *cast) fall(x *actor, listed bool) {
+	c.kill(x)
+	if x.ep > 0 && listed {
+		c.after(c.day.Notice, func() {
+			if !x.up {
+				c.list("state %d gone", x.ep)
+			}
+		})
+	}
+}
+
+func (c *cast) afflict(a Act, hit []*actor) {
+	word := a.Verb
+	by := a.By
+	switch a.Verb {
+	case "method":
+		by = strconv.Itoa(slices.Index(c.day.Trade.Methods, a.By))
+	case "from":
+		by = "c" + a.By
+	}
+	if by != "" {
+		word += " " + by
+	}
+	for _, x := range hit {
+		c.stage.Tell(x.name, word)
+		c.then(a, func() { c.stage.Tell(x.name, "heal "+a.Verb) })
+	}
+}
+
+func (c *cast) hinder(a Act, id string, h virtual.Hindrance, match func(x, y string) bool) {
+	c.stage.Hinder(id, h, match)
+	c.then(a, func() { c.stage.Clear(id) })
+}
+
+// streams matches links between coordinators and the front ends that are hit.
+func (c *cast) streams(hit map[string]bool) func(a, b string) bool {
+	return func(a, b string) bool { return hit[a] && b[0] == 'c' || hit[b] && a[0] == 'c' }
+}
+
+func (c *cast) across(a Act, hit map[string]bool) func(x, y string) bool {
+	switch a.Of {
+	case "list":
+		return func(x, y string) bool { return x == "list" || y == "list" }
+	case "servers":
+		return func(x, y string) bool { return hit[x] || hit[y] }
+	}
+	zone := func(n string) string {
+		if x := c.all[n]; x != nil {
+			return x.zone
+		}
+		return ""
+	}
+	return func(x, y string) bool { return (zone(x) == a.Pick.Zone) != (zone(y) == a.Pick.Zone) }
+}
+
+// deploy takes servers out one after another, with a drain announced, and brings them back cold.
+func (c *cast) deploy(a Act, hit []*actor) {
+	value := func(name string, def float64) float64 {
+		if v, ok := a.More[name]; ok {
+			return v
+		}
+		return def
+	}
+	drain, down, every := value("drain", 3), value("down", 1), value("every", 1)
+	for i, x := range hit {
+		c.after(float64(i)*every, func() {
+			if !x.up {
+				return
+			}
+			c.list("state %d draining", x.ep)
+			c.after(drain, func() {
+				c.fall(x, true)
+				c.after(down, func() { c.raise(x) })
+			})
+		})
+	}
+}
+
+// finish sorts what was recorded and checks it.
+func finish(d *Day, records []trace.Record, fails []string) (Result, error) {
+	slices.SortStableFunc(records, func(a, b trace.Record) int {
+		switch {
+		case a.T < b.T:
+			return -1
+		case a.T > b.T:
+			return 1
+		}
+		return 0
+	})
+	report, err := rules.Check(records, d.Limits())
+	return Result{Day: d, Report: report, Records: records, Fails: fails}, err
+}
+
+// Virtual plays a day in virtual time.
+func Virtual(d *Day, log func(t machine.Seconds, node string, n machine.Note)) (Result, error) {
+	var records []trace.Record
+	c := newCast(d)
+	const epoch = 1e6 // any time will do; one that is not 0 shows what takes 0 for "never"
+	w := virtual.New(d.Seed, epoch, d.Same, d.Cross)
+	c.stage, c.record = w, func(r trace.Record) { records = append(records, r) }
+	w.Trace, w.Log = c.record, log
+	self := func(a *actor) string { return a.name }
+	store := c.store()
+	w.Add("list", c.all["list"].zone, func(machine.Seconds, map[string][]byte) machine.Machine {
+		return standin.NewList(c.listings(self))
+	}, "list")
+	for _, a := range c.servers {
+		w.Add(a.name, a.zone, func(machine.Seconds, map[string][]byte) machine.Machine { return c.server(a, store) }, a.name)
+	}
+	var coords []string
+	for _, a := range c.coords {
+		coords = append(coords, a.name)
+		w.Add(a.name, a.zone, func(now machine.Seconds, files map[string][]byte) machine.Machine {
+			return coordinator.NewMachine(c.coordinator(a, now, a.name, "list"), files[coordinator.KeptList])
+		}, a.name)
+	}
+	for _, a := range c.fronts {
+		w.Add(a.name, a.zone, func(machine.Seconds, map[string][]byte) machine.Machine { return c.front(a, coords) })
+	}
+	c.start()
+	w.Run(epoch + d.Length)
+	r, err := finish(d, records, w.Fails)
+	r.Steps = w.Steps
+	return r, err
+}
--- /dev/null
+++ b/internal/standin/frontend.go
@@ -0,0 +1,810 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+	"gingerfork/internal/trace"
+)
+
+// Effect tells what a second run of an RPC does.
+type Effect uint8
+
+const (
+	Idempotent Effect = iota
+	Tokened
+	NonIdempotent
+)
+
+// MethodTrade says what a method is.
+type MethodTrade struct {
+	Name         string
+	Effect       Effect
+	Criticality  float64
+	SoftDeadline machine.Seconds
+	Deadline     machine.Seconds
+	Share        float64 // of the RPCs
+}
+
+// Methods are the methods of a fleet's settings, each with an equal share of the RPCs.
+func Methods(names []string, b interface {
+	Num(name string, def float64) float64
+	Word(name string) string
+}) (all []MethodTrade) {
+	for i, name := range names {
+		at := fmt.Sprintf("method.%d.", i)
+		effect := map[string]Effect{"idempotent": Idempotent, "tokened": Tokened, "non-idempotent": NonIdempotent}[b.Word(at+"effect")]
+		all = append(all, MethodTrade{Name: name, Effect: effect, Criticality: b.Num(at+"criticality", 1),
+			SoftDeadline: b.Num(at+"soft_deadline", 1), Deadline: b.Num(at+"deadline", 2), Share: 1 / float64(len(names))})
+	}
+	return all
+}
+
+// FrontTrade says what a front end is.
+type FrontTrade struct {
+	Name           string
+	Zone           string
+	Coordinators   []string // addresses, tried in this order
+	Methods        []MethodTrade
+	Rate           float64 // RPCs a second that come to it
+	Pick           string  // even, weight or pair
+	Strikes        int     // own failures in a row after which it keeps away from a server; 0: never
+	KeepAway       machine.Seconds
+	TryWait        float64 // of the soft deadline, what a try that may be followed waits
+	LineStill      machine.Seconds
+	LevelRate      bool // levels are rates, not shares
+	Period         machine.Seconds
+	ConnectTimeout machine.Seconds
+	Seed           uint64
+}
+
+// FrontEnd follows the tables of one coordinator, and sends the RPCs that come to it to servers.
+type FrontEnd struct {
+	trade  FrontTrade
+	dice   dice
+	timers timers
+	out    *machine.Out
+	conns  machine.Conn
+	begun  bool
+	rate   float64
+
+	// The stream to a coordinator.
+	stream  machine.Conn // 0: none
+	joined  bool
+	of      string // whose welcome it had
+	holds   string // whose tables it holds
+	mark    uint64
+	seq     uint64
+	at      int // which coordinator is tried
+	failed  int // in a row
+	reader  proto.Reader
+	heard   machine.Seconds
+	still   machine.Seconds // it stands still until then
+	held    []machine.Input // what came meanwhile
+	applied []proto.Push    // to take effect at the end of that
+
+	tables    map[uint64]*sheet
+	methods   []*sheet // by method
+	withdrawn map[proto.EP]bool
+
+	health map[proto.EP]health
+	links  map[proto.EP]*link
+	byID   map[machine.Conn]*link
+	rpcs   map[uint64]*rpc
+	count  uint64
+
+	usage []proto.Usage
+	sums  map[proto.EP]*met
+	since machine.Seconds
+}
+
+// sheet is one table as held.
+type sheet struct {
+	lines  []row // by server
+	levels map[int]level
+	turn   float64
+}
+
+type row struct {
+	ep     proto.EP
+	weight float64
+	addr   string
+	owed   float64 // for even picks
+}
+
+type level struct {
+	level float64
+	tries uint64
+	room  float64 // for rates
+	last  machine.Seconds
+}
+
+// link is the connection to a server, and what it met there.
+type link struct {
+	ep     proto.EP
+	addr   string
+	conn   machine.Conn
+	up     bool
+	reader proto.Reader
+	out    map[uint64]*rpc // sent and not answered, by try
+	wait   []uint64
+}
+
+// health is what a server showed this front end; it outlives connections.
+type health struct {
+	fails int             // in a row
+	away  machine.Seconds // kept away from until then
+}
+
+type met struct {
+	tries, bad uint64
+	delay      machine.Seconds
+}
+
+// rpc is one RPC of a client.
+type rpc struct {
+	id     uint64
+	method int
+	asked  machine.Seconds
+	token  uint64
+	try    uint64 // the one under way; 0: none
+	link   *link
+	sent   machine.Seconds
+	n      int
+	tried  []proto.EP
+	done   bool
+}
+
+// NewFrontEnd makes one.
+func NewFrontEnd(t FrontTrade) *FrontEnd {
+	return &FrontEnd{trade: t, dice: dice{seed: t.Seed}, conns: machine.Dialled, rate: t.Rate, tables: map[uint64]*sheet{},
+		methods: make([]*sheet, len(t.Methods)), withdrawn: map[proto.EP]bool{}, links: map[proto.EP]*link{},
+		health: map[proto.EP]health{}, byID: map[machine.Conn]*link{}, rpcs: map[uint64]*rpc{}, usage: make([]proto.Usage, len(t.Methods)),
+		sums: map[proto.EP]*met{}}
+}
+
+// Step implements machine.Machine.
+func (f *FrontEnd) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
+	f.out = out
+	if !f.begun {
+		f.begun, f.since = true, now
+		for m := range f.usage {
+			f.usage[m].Method = uint64(m)
+		}
+		f.dial(now)
+		f.timers.at(now+f.trade.Period*(0.5+f.dice.draw()), f.report)
+		f.timers.at(now+f.dice.wait(f.rate), f.arrive)
+	}
+	// While it applies a push it stands still: what comes meanwhile waits.
+	f.held = append(f.held, in...)
+	for {
+		if now < f.still {
+			out.At(f.still)
+			return
+		}
+		for _, p := range f.applied {
+			f.apply(now, p)
+		}
+		f.applied = f.applied[:0]
+		if len(f.held) == 0 {
+			break
+		}
+		i := f.held[0]
+		f.held = f.held[1:]
+		f.input(now, i)
+	}
+	f.held = nil
+	f.timers.ring(now)
+	f.timers.wake(out)
+	if f.still > now {
+		out.At(f.still)
+	}
+}
+
+func (f *FrontEnd) input(now machine.Seconds, i machine.Input) {
+	if i.Kind == machine.Told {
+		f.told(now, i.Text)
+		return
+	}
+	if l := f.byID[i.Conn]; l != nil {
+		f.server(now, l, i)
+		return
+	}
+	if i.Conn != f.stream {
+		return
+	}
+	switch i.Kind {
+	case machine.Opened:
+		f.heard = now
+		f.out.Write(f.stream, proto.Append(nil, proto.Hello{Version: proto.Version, Role: proto.RoleProxy, Name: f.trade.Name,
+			Zone: f.trade.Zone, Rate: f.rate, Fresh: f.holds == "", Holds: f.holds, Mark: f.mark}))
+	case machine.Closed:
+		f.leave(now, i.Text)
+	case machine.Data:
+		f.heard = now
+		f.reader.Feed(i.Data)
+		for f.stream == i.Conn {
+			msg, err := f.reader.Next()
+			if err == nil && msg == nil {
+				return
+			}
+			if err == nil {
+				err = f.message(now, msg)
+			}
+			if err != nil {
+				f.out.Write(f.stream, proto.Append(nil, proto.Refuse{Reason: err.Error()}))
+				f.out.Close(f.stream)
+				f.leave(now, err.Error())
+			}
+		}
+	}
+}
+
+func (f *FrontEnd) dial(now machine.Seconds) {
+	f.conns++
+	f.stream, f.reader, f.heard, f.seq = f.conns, proto.Reader{}, now, 0
+	f.out.Dial(f.stream, f.trade.Coordinators[f.at%len(f.trade.Coordinators)])
+}
+
+// leave: the stream ended. What is held stays in force; another coordinator is tried when this one fails again.
+func (f *FrontEnd) leave(now machine.Seconds, why string) {
+	if f.joined {
+		f.out.Record(trace.Record{T: now, Kind: trace.Leave, Who: f.trade.Name, Of: f.of, Text: why})
+		f.failed = 0
+	}
+	f.stream, f.joined = 0, false
+	f.applied = nil // what was not yet applied is lost with its stream
+	if f.failed++; f.failed > 1 {
+		f.at++
+	}
+	f.timers.at(now+min(0.1*float64(f.failed), 2)*(0.5+f.dice.draw()), func(now machine.Seconds) {
+		if f.stream == 0 {
+			f.dial(now)
+		}
+	})
+}
+
+func (f *FrontEnd) message(now machine.Seconds, msg proto.Message) error {
+	switch m := msg.(type) {
+	case proto.Welcome:
+		f.reader.Open()
+		f.joined, f.of, f.failed = true, m.Name, 0
+		f.out.Record(trace.Record{T: now, Kind: trace.Join, Who: f.trade.Name, Of: m.Name, Zone: f.trade.Zone})
+	case proto.Push:
+		if f.seq++; !f.joined || m.Seq != f.seq {
+			return fmt.Errorf("push %d, %d wanted", m.Seq, f.seq)
+		}
+		lines := 0
+		for _, o := range m.Ops {
+			lines += 1 + len(o.Lines) + len(o.Levels)
+		}
+		f.out.Record(trace.Record{T: now, Kind: trace.Push, Who: f.trade.Name, Of: f.of, Mark: int(m.Mark), N: int64(m.Waiting),
+			X: float64(lines)})
+		f.still = max(f.still, now) + float64(lines)*f.trade.LineStill
+		f.applied = append(f.applied, m)
+		if f.still <= now {
+			f.applied = f.applied[:len(f.applied)-1]
+			f.apply(now, m)
+		}
+	case proto.Heard:
+	case proto.Refuse:
+		f.out.Close(f.stream)
+		f.leave(now, m.Reason)
+	default:
+		return fmt.Errorf("a %T on a proxy's stream", msg)
+	}
+	return nil
+}
+
+// apply has a push take effect.
+func (f *FrontEnd) apply(now machine.Seconds, m proto.Push) {
+	if f.stream == 0 {
+		return
+	}
+	if m.Marked {
+		f.out.Write(f.stream, proto.Append(nil, proto.Answer{Mark: m.Mark}))
+		f.mark = m.Mark
+	}
+	var text strings.Builder
+	for _, o := range m.Ops {
+		if text.Len() > 0 {
+			text.WriteByte(';')
+		}
+		f.do(o, &text)
+	}
+	f.out.Record(trace.Record{T: now, Kind: trace.Apply, Who: f.trade.Name, Of: f.of, Mark: int(m.Mark), Text: text.String()})
+	f.trim()
+}
+
+func (f *FrontEnd) do(o proto.Op, text *strings.Builder) {
+	t := f.tables[o.Table]
+	switch o.Kind {
+	case proto.OpBind:
+		if f.holds != f.of {
+			// The tables and withdrawals of another coordinator are of no more use.
+			f.holds = f.of
+			clear(f.tables)
+			clear(f.methods)
+		}
+		t = &sheet{levels: map[int]level{}}
+		f.tables[o.Table] = t
+		clear(f.withdrawn)
+		fmt.Fprintf(text, "bind %d %d", o.Table, o.Methods)
+		for _, l := range o.Lines {
+			f.line(t, l, text)
+		}
+		for _, l := range o.Levels {
+			f.level(t, l)
+		}
+		for _, ep := range o.Withdrawn {
+			f.withdrawn[ep] = true
+			fmt.Fprintf(text, " -%d", ep)
+		}
+		for m := range f.methods {
+			if o.Methods == 0 || o.Methods>>m&1 == 1 {
+				f.methods[m] = t
+			}
+		}
+	case proto.OpLine:
+		fmt.Fprintf(text, "line %d", o.Table)
+		if t != nil {
+			f.line(t, o.Lines[0], text)
+		}
+	case proto.OpClear:
+		fmt.Fprintf(text, "clear %d", o.Table)
+		if t != nil {
+			t.lines, t.levels = nil, map[int]level{}
+		}
+	case proto.OpLevel:
+		fmt.Fprintf(text, "level %d %d %g %d", o.Table, o.Levels[0].Methods, o.Levels[0].Level, o.Levels[0].Tries)
+		if t != nil {
+			f.level(t, o.Levels[0])
+		}
+	case proto.OpWithdraw:
+		f.withdrawn[o.Withdrawn[0]] = true
+		fmt.Fprintf(text, "withdraw %d", o.Withdrawn[0])
+	case proto.OpReadmit:
+		delete(f.withdrawn, o.Withdrawn[0])
+		fmt.Fprintf(text, "readmit %d", o.Withdrawn[0])
+	}
+}
+
+func (f *FrontEnd) line(t *sheet, l proto.Line, text *strings.Builder) {
+	fmt.Fprintf(text, " %d:%.6g", l.EP, l.Weight)
+	at, ok := slices.BinarySearchFunc(t.lines, l.EP, func(r row, ep proto.EP) int { return int(int64(r.ep) - int64(ep)) })
+	switch {
+	case l.Weight == 0 && ok:
+		t.lines = slices.Delete(t.lines, at, at+1)
+	case l.Weight == 0:
+	case ok:
+		t.lines[at].weight, t.lines[at].addr = l.Weight, l.Addr
+	default:
+		t.lines = slices.Insert(t.lines, at, row{ep: l.EP, weight: l.Weight, addr: l.Addr})
+	}
+	if l.Shut {
+		f.withdrawn[l.EP] = true
+		fmt.Fprintf(text, "!")
+	} else {
+		delete(f.withdrawn, l.EP)
+	}
+}
+
+func (f *FrontEnd) level(t *sheet, l proto.Level) {
+	for m := range f.trade.Methods {
+		if l.Methods == 0 || l.Methods>>m&1 == 1 {
+			was := t.levels[m]
+			t.levels[m] = level{l.Level, l.Tries, was.room, was.last}
+		}
+	}
+}
+
+// trim closes idle connections to servers that no table holds any more.
+func (f *FrontEnd) trim() {
+	used := map[proto.EP]string{}
+	for _, t := range f.methods {
+		if t != nil {
+			for _, r := range t.lines {
+				if !f.withdrawn[r.ep] {
+					used[r.ep] = r.addr
+				}
+			}
+		}
+	}
+	for _, c := range sortedConns(f.byID) {
+		if l := f.byID[c]; (used[l.ep] == "" || used[l.ep] != l.addr) && len(l.out) == 0 {
+			f.out.Close(c)
+			f.drop(l)
+		}
+	}
+}
+
+// report sends what was met since the last one; an empty one too, as a sign of life.
+func (f *FrontEnd) report(now machine.Seconds) {
+	f.timers.at(now+f.trade.Period, f.report)
+	if !f.joined {
+		if f.stream != 0 && now-f.heard > 4*f.trade.Period {
+			f.out.Kill(f.stream)
+			f.leave(now, "no welcome")
+		}
+		return
+	}
+	if now-f.heard > 4*f.trade.Period {
+		f.out.Kill(f.stream)
+		f.leave(now, "silent for too long")
+		return
+	}
+	s := proto.Sums{Over: now - f.since}
+	for m, u := range f.usage {
+		if u.RPCs > 0 {
+			s.Usage = append(s.Usage, u)
+		}
+		f.usage[m] = proto.Usage{Method: uint64(m)}
+	}
+	for ep, x := range f.sums {
+		t := proto.Tries{EP: ep, Tries: x.tries, Bad: x.bad}
+		if x.tries > x.bad {
+			t.Delay = x.delay / float64(x.tries-x.bad)
+		}
+		s.Tries = append(s.Tries, t)
+	}
+	slices.SortFunc(s.Tries, func(a, b proto.Tries) int { return int(int64(a.EP) - int64(b.EP)) })
+	clear(f.sums)
+	f.since = now
+	f.out.Write(f.stream, proto.Append(nil, s))
+}
+
+// arrive: a client's RPC comes.
+func (f *FrontEnd) arrive(now machine.Seconds) {
+	f.timers.at(now+f.dice.wait(f.rate), f.arrive)
+	f.count++
+	r := &rpc{id: Seed(0, fmt.Sprint(f.trade.Name, f.trade.Seed))<<32 | f.count, asked: now}
+	x := f.dice.draw()
+	for m, t := range f.trade.Methods {
+		if r.method = m; x < t.Share {
+			break
+		}
+		x -= t.Share
+	}
+	if f.trade.Methods[r.method].Effect == Tokened {
+		r.token = r.id
+	}
+	f.rpcs[r.id] = r
+	f.usage[r.method].RPCs++
+	if !f.admit(now, r.method) {
+		f.end(now, r, proto.PushedBack)
+		return
+	}
+	f.timers.at(now+f.trade.Methods[r.method].Deadline, func(now machine.Seconds) {
+		if !r.done {
+			f.tried(now, r, false)
+			f.end(now, r, proto.Aborted)
+		}
+	})
+	f.send(now, r, "")
+}
+
+func (f *FrontEnd) admit(now machine.Seconds, m int) bool {
+	t := f.methods[m]
+	if t == nil {
+		return true
+	}
+	l, ok := t.levels[m]
+	if !ok {
+		return true
+	}
+	if !f.trade.LevelRate {
+		return l.level >= 1 || f.dice.draw() < l.level
+	}
+	l.room = min(l.room+(now-l.last)*l.level, max(1, l.level))
+	l.last = now
+	good := l.room >= 1
+	if good {
+		l.room--
+	}
+	t.levels[m] = l
+	return good
+}
+
+// pick chooses a line, not one that was tried, if possible not one that it keeps away from.
+func (f *FrontEnd) pick(now machine.Seconds, r *rpc) *row {
+	t := f.methods[r.method]
+	if t == nil {
+		return nil
+	}
+	var open, near []*row
+	for i := range t.lines {
+		x := &t.lines[i]
+		if f.withdrawn[x.ep] || x.weight <= 0 || slices.Contains(r.tried, x.ep) {
+			continue
+		}
+		open = append(open, x)
+		if f.health[x.ep].away <= now {
+			near = append(near, x)
+		}
+	}
+	if len(near) > 0 {
+		open = near
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	draw := func() *row {
+		sum := 0.0
+		for _, x := range open {
+			sum += x.weight
+		}
+		at := f.dice.draw() * sum
+		for _, x := range open {
+			if at -= x.weight; at < 0 {
+				return x
+			}
+		}
+		return open[len(open)-1]
+	}
+	switch f.trade.Pick {
+	case "pair":
+		a, b := draw(), draw()
+		if f.busy(b.ep) < f.busy(a.ep) {
+			return b
+		}
+		return a
+	case "even":
+		sum := 0.0
+		best := open[0]
+		for _, x := range open {
+			x.owed += x.weight
+			sum += x.weight
+			if x.owed > best.owed {
+				best = x
+			}
+		}
+		best.owed -= sum
+		return best
+	}
+	return draw()
+}
+
+func (f *FrontEnd) busy(ep proto.EP) int {
+	if l := f.links[ep]; l != nil {
+		return len(l.out) + len(l.wait)
+	}
+	return 0
+}
+
+func (f *FrontEnd) send(now machine.Seconds, r *rpc, why string) bool {
+	x := f.pick(now, r)
+	if x == nil {
+		if r.n == 0 {
+			f.end(now, r, proto.PushedBack)
+		}
+		return false
+	}
+	l := f.links[x.ep]
+	if l == nil || l.addr != x.addr {
+		if l != nil {
+			f.out.Close(l.conn)
+			f.broke(now, l)
+		}
+		f.conns++
+		l = &link{ep: x.ep, addr: x.addr, conn: f.conns, out: map[uint64]*rpc{}}
+		f.links[x.ep], f.byID[l.conn] = l, l
+		f.out.Dial(l.conn, x.addr)
+		f.timers.at(now+f.trade.ConnectTimeout, func(now machine.Seconds) {
+			if !l.up && f.byID[l.conn] == l {
+				f.out.Kill(l.conn)
+				f.broke(now, l)
+			}
+		})
+	}
+	f.count++
+	r.try, r.link, r.sent, r.n = f.count, l, now, r.n+1
+	r.tried = append(r.tried, x.ep)
+	f.out.Record(trace.Record{T: now, Kind: trace.Try, Who: f.trade.Name, Of: f.of, EP: x.ep, RPC: r.id, Method: r.method,
+		N: int64(r.n), Text: why})
+	l.out[r.try] = r
+	if l.up {
+		f.write(now, l, r)
+	} else {
+		l.wait = append(l.wait, r.try)
+	}
+	if tries := f.tries(r); tries >= 2 && r.n < int(tries) {
+		try := r.try
+		f.timers.at(now+f.trade.TryWait*f.trade.Methods[r.method].SoftDeadline, func(now machine.Seconds) {
+			if !r.done && r.try == try {
+				// It is given up, though it may run or have run.
+				f.failedTry(now, r, true)
+			}
+		})
+	}
+	return true
+}
+
+func (f *FrontEnd) write(now machine.Seconds, l *link, r *rpc) {
+	m := f.trade.Methods[r.method]
+	f.out.Write(l.conn, proto.Append(nil, proto.RPC{ID: r.id, Method: uint64(r.method), Token: r.token,
+		Left: max(0, r.asked+m.Deadline-now)}))
+}
+
+// tries is what the table orders for the RPC's method.
+func (f *FrontEnd) tries(r *rpc) uint64 {
+	if t := f.methods[r.method]; t != nil {
+		return t.levels[r.method].tries
+	}
+	return 0
+}
+
+// tried counts how a try ended, and forgets it.
+func (f *FrontEnd) tried(now machine.Seconds, r *rpc, good bool) {
+	l := r.link
+	if l == nil || r.try == 0 {
+		return
+	}
+	delete(l.out, r.try)
+	if at := slices.Index(l.wait, r.try); at >= 0 {
+		l.wait = slices.Delete(l.wait, at, at+1)
+	}
+	x := f.sums[l.ep]
+	if x == nil {
+		x = &met{}
+		f.sums[l.ep] = x
+	}
+	x.tries++
+	h := f.health[l.ep]
+	if good {
+		x.delay += now - r.sent
+		h.fails = 0
+	} else {
+		x.bad++
+		if h.fails++; f.trade.Strikes > 0 && h.fails >= f.trade.Strikes {
+			h = health{0, now + f.trade.KeepAway}
+		}
+	}
+	if h == (health{}) {
+		delete(f.health, l.ep)
+	} else {
+		f.health[l.ep] = h
+	}
+	r.try, r.link = 0, nil
+}
+
+// failedTry ends a try that failed; may says whether it may have run all the same.
+func (f *FrontEnd) failedTry(now machine.Seconds, r *rpc, may bool) {
+	f.tried(now, r, false)
+	tries := f.tries(r)
+	again := false
+	switch tries {
+	case 1:
+		again = !may && r.n < 2
+	case 2:
+		again = r.n < 2
+	case 3:
+		again = r.n < 3
+	}
+	left := r.asked + f.trade.Methods[r.method].Deadline - now
+	if again && left > 0.05 {
+		text := "after proof"
+		if may {
+			text = "it may have run"
+		}
+		if f.send(now, r, text) {
+			return
+		}
+	}
+	status := proto.Aborted
+	if !may {
+		status = proto.PushedBack
+	}
+	f.end(now, r, status)
+}
+
+func (f *FrontEnd) end(now machine.Seconds, r *rpc, status proto.Status) {
+	if r.done {
+		return
+	}
+	r.done = true
+	delete(f.rpcs, r.id)
+	if status != proto.OK && r.n > 0 {
+		f.usage[r.method].Bad = min(f.usage[r.method].Bad+1, f.usage[r.method].RPCs)
+	}
+	f.out.Record(trace.Record{T: now, Kind: trace.End, Who: f.trade.Name, RPC: r.id, Method: r.method, Text: status.String(),
+		X: now - r.asked})
+}
+
+// server takes what comes from a server.
+func (f *FrontEnd) server(now machine.Seconds, l *link, i machine.Input) {
+	switch i.Kind {
+	case machine.Opened:
+		l.up = true
+		l.reader.Open()
+		f.out.Write(l.conn, proto.Append(nil, proto.Hello{Version: proto.Version, Role: proto.RoleCaller, Name: f.trade.Name,
+			Zone: f.trade.Zone, Holds: f.holds}))
+		for _, try := range l.wait {
+			if r := l.out[try]; r != nil && !r.done {
+				f.write(now, l, r)
+			}
+		}
+		l.wait = nil
+	case machine.Closed:
+		f.broke(now, l)
+	case machine.Data:
+		l.reader.Feed(i.Data)
+		for f.byID[l.conn] == l {
+			msg, err := l.reader.Next()
+			if err != nil {
+				f.out.Close(l.conn)
+				f.broke(now, l)
+				return
+			}
+			if msg == nil {
+				return
+			}
+			if m, ok := msg.(proto.Reply); ok {
+				f.replied(now, l, m)
+			}
+		}
+	}
+}
+
+func (f *FrontEnd) replied(now machine.Seconds, l *link, m proto.Reply) {
+	r := f.rpcs[m.ID]
+	if r == nil || r.link != l {
+		return // given up before
+	}
+	switch m.Status {
+	case proto.OK:
+		f.tried(now, r, true)
+		f.end(now, r, proto.OK)
+	case proto.PushedBack:
+		f.failedTry(now, r, false)
+	default:
+		f.failedTry(now, r, true)
+	}
+}
+
+// broke: the connection to a server is gone; what was sent on it may have run, what was not surely did not.
+func (f *FrontEnd) broke(now machine.Seconds, l *link) {
+	f.drop(l)
+	var all []uint64
+	for try := range l.out {
+		all = append(all, try)
+	}
+	slices.Sort(all)
+	for _, try := range all {
+		r := l.out[try]
+		f.failedTry(now, r, l.up)
+	}
+}
+
+func (f *FrontEnd) drop(l *link) {
+	delete(f.byID, l.conn)
+	if f.links[l.ep] == l {
+		delete(f.links, l.ep)
+	}
+}
+
+// told takes a script's word: rate RPCS, still SECONDS or reset.
+func (f *FrontEnd) told(now machine.Seconds, text string) {
+	word, rest, _ := strings.Cut(text, " ")
+	v, _ := strconv.ParseFloat(rest, 64)
+	switch word {
+	case "rate":
+		idle := f.rate <= 0
+		f.rate = v
+		if idle {
+			f.timers.at(now+f.dice.wait(f.rate), f.arrive)
+		}
+	case "still":
+		f.still = max(f.still, now+v)
+	case "reset":
+		if f.stream != 0 {
+			f.out.Kill(f.stream)
+			f.leave(now, "reset by the script")
+		}
+	default:
+		f.out.Log(2, "unknown word", "word", text)
+	}
+}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,331 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+	"gingerfork/internal/trace"
+)
+
+// Listing is a server as the list service knows it.
+type Listing struct {
+	EP     proto.EP
+	State  proto.ServerState
+	Kind   string
+	Zone   string
+	Cell   uint64
+	Weight float64
+	Addr   string
+	Start  machine.Seconds // of its process; 0: long ago
+	Stamp  uint64
+}
+
+// List is a list service: numbered versions, whole lists and changes, watchers; and it can be late, stale, wrong, empty
+// or out of order on command.
+type List struct {
+	all      map[proto.EP]Listing
+	past     map[proto.EP]Listing // all that ever were, as last listed
+	version  uint64
+	history  []change // oldest first
+	watchers map[machine.Conn]*watcher
+	timers   timers
+	late     machine.Seconds
+	fail     bool
+	stale    bool
+	wrong    map[proto.EP]bool // the only servers that it shows; nil: the truth
+	beat     machine.Seconds
+	begun    bool
+	out      *machine.Out
+	// Via tells at which address a watcher is to reach a server; nil: at its own.
+	Via func(watcher, addr string) string
+}
+
+type change struct {
+	version uint64
+	entry   Listing
+}
+
+type watcher struct {
+	conn   machine.Conn
+	reader proto.Reader
+	name   string
+	on     bool
+	told   uint64 // version
+	queued machine.Seconds
+}
+
+const historyMost = 4096
+
+// NewList makes a list service that shows these servers.
+func NewList(all []Listing) *List {
+	l := &List{all: map[proto.EP]Listing{}, past: map[proto.EP]Listing{}, version: 1, watchers: map[machine.Conn]*watcher{}}
+	for _, e := range all {
+		l.all[e.EP], l.past[e.EP] = e, e
+	}
+	return l
+}
+
+// Step implements machine.Machine.
+func (l *List) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
+	l.out = out
+	if !l.begun {
+		l.begun = true
+		out.Record(trace.Record{T: now, Kind: trace.List, N: int64(l.version), Text: "full " + show(l.shown())})
+	}
+	l.timers.ring(now)
+	for _, i := range in {
+		switch i.Kind {
+		case machine.Opened:
+			l.watchers[i.Conn] = &watcher{conn: i.Conn}
+		case machine.Closed:
+			delete(l.watchers, i.Conn)
+		case machine.Told:
+			l.told(now, i.Text)
+		case machine.Data:
+			if w := l.watchers[i.Conn]; w != nil {
+				w.reader.Feed(i.Data)
+				l.read(now, w)
+			}
+		}
+	}
+	if now >= l.beat {
+		l.beat = now + 1
+		for _, c := range sortedConns(l.watchers) {
+			if w := l.watchers[c]; w.on {
+				// An empty change of the version held: a sign of life.
+				out.Write(w.conn, proto.Append(nil, proto.List{Kind: proto.ListChanges, Base: w.told, Version: w.told}))
+			}
+		}
+	}
+	out.At(l.beat)
+	l.timers.wake(out)
+}
+
+func sortedConns[T any](of map[machine.Conn]T) []machine.Conn {
+	all := make([]machine.Conn, 0, len(of))
+	for c := range of {
+		all = append(all, c)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (l *List) read(now machine.Seconds, w *watcher) {
+	for l.watchers[w.conn] == w {
+		msg, err := w.reader.Next()
+		if err != nil {
+			l.out.Write(w.conn, proto.Append(nil, proto.Refuse{Reason: err.Error()}))
+			l.out.Close(w.conn)
+			delete(l.watchers, w.conn)
+			return
+		}
+		switch m := msg.(type) {
+		case nil:
+			return
+		case proto.Hello:
+			w.name = m.Name
+			w.reader.Open()
+			l.out.Write(w.conn, proto.Append(nil, proto.Welcome{Version: proto.Version, Name: "list"}))
+		case proto.Watch:
+			l.out.Record(trace.Record{T: now, Kind: trace.Ask, Of: w.name})
+			w.on = false
+			if m.On {
+				l.answer(now, w, m.Since)
+			}
+		case proto.Fetch:
+			l.out.Record(trace.Record{T: now, Kind: trace.Ask, Of: w.name})
+			l.answer(now, w, 0)
+		}
+	}
+}
+
+// answer to a call: what changed since a version, or all of it.
+func (l *List) answer(now machine.Seconds, w *watcher, since uint64) {
+	if l.fail {
+		l.out.Write(w.conn, proto.Append(nil, proto.List{Kind: proto.ListError, Reason: "the list service is out of order"}))
+		return
+	}
+	w.on, w.told = true, since
+	known := since > 0 && since <= l.version && (since == l.version || len(l.history) > 0 && l.history[0].version <= since+1)
+	if !known || l.wrong != nil {
+		w.told = 0
+	}
+	l.deliver(now, w, true)
+}
+
+// deliver sends a watcher what it lacks.
+func (l *List) deliver(now machine.Seconds, w *watcher, called bool) {
+	if l.stale && !called || l.watchers[w.conn] != w || w.told == l.version && !called {
+		return
+	}
+	m := proto.List{Kind: proto.ListFull, Base: w.told, Version: l.version}
+	var entries []Listing
+	if w.told == 0 || l.wrong != nil {
+		entries = l.shown()
+	} else {
+		m.Kind = proto.ListChanges
+		last := map[proto.EP]int{}
+		for _, c := range l.history {
+			if c.version > w.told {
+				if at, ok := last[c.entry.EP]; ok {
+					entries[at] = c.entry
+				} else {
+					last[c.entry.EP] = len(entries)
+					entries = append(entries, c.entry)
+				}
+			}
+		}
+	}
+	for _, e := range entries {
+		x := proto.Entry{EP: e.EP, State: e.State, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, Old: e.Start == 0,
+			Stamp: e.Stamp, Addr: e.Addr}
+		if l.Via != nil {
+			x.Addr = l.Via(w.name, e.Addr)
+		}
+		if e.Start > 0 {
+			x.Age = max(0, now-e.Start)
+		}
+		m.Entries = append(m.Entries, x)
+	}
+	w.told = l.version
+	l.out.Write(w.conn, proto.Append(nil, m))
+	kind := "changes "
+	if m.Kind == proto.ListFull {
+		kind = "full "
+	}
+	l.out.Record(trace.Record{T: now, Kind: trace.List, Of: w.name, N: int64(l.version), Text: kind + show(entries)})
+}
+
+func (l *List) shown() (all []Listing) {
+	for _, e := range l.all {
+		if l.wrong == nil || l.wrong[e.EP] {
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, func(a, b Listing) int { return cmp.Compare(a.EP, b.EP) })
+	return all
+}
+
+// show writes entries for the trace: number, state (o, d or g), start, zone.
+func show(all []Listing) string {
+	var b strings.Builder
+	for _, e := range all {
+		fmt.Fprintf(&b, "%d:%c:%.3f:%s ", e.EP, "god"[e.State], e.Start, e.Zone)
+	}
+	return strings.TrimSuffix(b.String(), " ")
+}
+
+// change makes a new version, and tells the watchers once it is late enough.
+func (l *List) change(now machine.Seconds, entries ...Listing) {
+	l.version++
+	for _, e := range entries {
+		l.past[e.EP] = e
+		if e.State == proto.ServerGone {
+			delete(l.all, e.EP)
+		} else {
+			l.all[e.EP] = e
+		}
+		l.history = append(l.history, change{l.version, e})
+	}
+	if len(l.history) > historyMost {
+		l.history = slices.Clone(l.history[len(l.history)-historyMost/2:])
+	}
+	l.out.Record(trace.Record{T: now, Kind: trace.List, N: int64(l.version), Text: "changes " + show(entries)})
+	l.spread(now)
+}
+
+func (l *List) spread(now machine.Seconds) {
+	tell := func(now machine.Seconds) {
+		for _, c := range sortedConns(l.watchers) {
+			if w := l.watchers[c]; w.on {
+				l.deliver(now, w, false)
+			}
+		}
+	}
+	if l.late > 0 {
+		l.timers.at(now+l.late, tell)
+	} else {
+		tell(now)
+	}
+}
+
+// told takes a script's word:
+//
+//	state EP open|draining|gone   restart EP ADDR   add EP ZONE KIND CELL WEIGHT ADDR   weight EP W
+//	late SECONDS   fail on|off   stale on|off   show all|none|EP…   break
+func (l *List) told(now machine.Seconds, text string) {
+	word, rest, _ := strings.Cut(text, " ")
+	args := strings.Fields(rest)
+	arg := func(i int) string {
+		if i < len(args) {
+			return args[i]
+		}
+		return ""
+	}
+	number := func(i int) float64 { v, _ := strconv.ParseFloat(arg(i), 64); return v }
+	e, known := l.all[proto.EP(number(0))]
+	switch word {
+	case "state":
+		if !known {
+			return
+		}
+		e.State = map[string]proto.ServerState{"open": proto.ServerOpen, "draining": proto.ServerDraining, "gone": proto.ServerGone}[arg(1)]
+		l.change(now, e)
+	case "weight":
+		if e.Weight = number(1); known {
+			l.change(now, e)
+		}
+	case "restart":
+		if e, known = l.past[proto.EP(number(0))]; known {
+			e.State, e.Start, e.Stamp = proto.ServerOpen, now, e.Stamp+1
+			if arg(1) != "" {
+				e.Addr = arg(1)
+			}
+			l.change(now, e)
+		}
+	case "add":
+		cell, _ := strconv.ParseUint(arg(3), 10, 64)
+		l.change(now, Listing{EP: proto.EP(number(0)), State: proto.ServerOpen, Zone: arg(1), Kind: arg(2), Cell: cell,
+			Weight: number(4), Addr: arg(5), Start: now, Stamp: l.version + 1})
+	case "late":
+		l.late = number(0)
+	case "fail":
+		if l.fail = arg(0) == "on"; l.fail {
+			l.drop(now)
+		}
+	case "stale":
+		if l.stale = arg(0) == "on"; !l.stale {
+			l.spread(now)
+		}
+	case "show":
+		l.wrong = nil
+		if arg(0) != "all" {
+			l.wrong = map[proto.EP]bool{}
+			for i := range args {
+				l.wrong[proto.EP(number(i))] = true
+			}
+		}
+		l.version++
+		for _, w := range l.watchers {
+			w.told = 0
+		}
+		l.out.Record(trace.Record{T: now, Kind: trace.List, N: int64(l.version), Text: "full " + show(l.shown())})
+		l.spread(now)
+	case "break":
+		l.drop(now)
+	default:
+		l.out.Log(2, "unknown word", "word", text)
+	}
+}
+
+func (l *List) drop(machine.Seconds) {
+	for _, c := range sortedConns(l.watchers) {
+		l.out.Kill(c)
+		delete(l.watchers, c)
+	}
+}
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,147 @@
+// Package trace is the record of what passed between the parties of a run: one record a line, written by the stand-ins,
+// read by the rule checker. It knows nothing of coordinators.
+//
+// A line is: time, kind, then fields as key=value, separated by blanks. Times are seconds. Names hold no blanks.
+package trace
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// Kinds of records, with the fields that each uses.
+const (
+	Boot    = "boot"    // Who: a coordinator's process was started
+	Kill    = "kill"    // Who: a process ended outright (coordinator, proxy or server)
+	Join    = "join"    // Who: proxy, Of: coordinator: the proxy had its welcome; Zone
+	Leave   = "leave"   // Who: proxy, Of: coordinator: the proxy saw its stream end
+	Push    = "push"    // Who: proxy, Of: coordinator, Mark, N: lines waiting behind it, Text: operations
+	Apply   = "apply"   // Who: proxy, Of: coordinator, Mark, Text: operations, as they took effect
+	List    = "list"    // Of: coordinator, N: version, Text: kind and entries, as delivered to it
+	Ask     = "ask"     // Of: coordinator: it asked the list service for news or for the whole list
+	Try     = "try"     // Who: proxy, Of: coordinator that it follows, EP, RPC, Method, N: which try, Text: why again
+	Run     = "run"     // EP, RPC, Method: a server began the RPC's effect; Text: token if it has one
+	End     = "end"     // Who: proxy, RPC, Method, Text: ok, pushed back or aborted, X: seconds since it was asked
+	Start   = "start"   // EP: a server's process started cold; X: its full capacity, RPCs a second
+	Fall    = "fall"    // EP: it fell over while cold, Text: who brought the load
+	Gone    = "gone"    // EP: its process ended
+	Trouble = "trouble" // Text: what the script did
+	Offer   = "offer"   // EP, X: capacity at present, N: RPCs that came in the window (when near its bound)
+)
+
+// Record is one thing that passed.
+type Record struct {
+	T      float64
+	Kind   string
+	Who    string
+	Of     string
+	Zone   string
+	EP     uint32
+	RPC    uint64
+	Method int
+	Mark   int
+	N      int64
+	X      float64
+	Text   string
+}
+
+// Append writes the record's line, with its newline.
+func (r Record) Append(b []byte) []byte {
+	b = strconv.AppendFloat(b, r.T, 'f', 6, 64)
+	b = append(append(b, ' '), r.Kind...)
+	word := func(key, v string) {
+		if v != "" {
+			b = append(append(append(append(b, ' '), key...), '='), v...)
+		}
+	}
+	whole := func(key string, v int64) {
+		if v != 0 {
+			b = append(append(append(b, ' '), key...), '=')
+			b = strconv.AppendInt(b, v, 10)
+		}
+	}
+	word("who", r.Who)
+	word("of", r.Of)
+	word("zone", r.Zone)
+	whole("ep", int64(r.EP))
+	if r.RPC != 0 {
+		b = append(b, " rpc="...)
+		b = strconv.AppendUint(b, r.RPC, 10)
+	}
+	whole("method", int64(r.Method))
+	whole("mark", int64(r.Mark))
+	whole("n", r.N)
+	if r.X != 0 {
+		b = append(b, " x="...)
+		b = strconv.AppendFloat(b, r.X, 'g', -1, 64)
+	}
+	if r.Text != "" {
+		b = append(b, " text="...)
+		b = strconv.AppendQuote(b, r.Text)
+	}
+	return append(b, '\n')
+}
+
+// Parse reads one line.
+func Parse(line string) (r Record, err error) {
+	at, rest, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
+	if r.T, err = strconv.ParseFloat(at, 64); err != nil {
+		return r, fmt.Errorf("time %q: %w", at, err)
+	}
+	r.Kind, rest, _ = strings.Cut(rest, " ")
+	for rest != "" {
+		var key, v string
+		if key, rest, _ = strings.Cut(rest, "="); key == "text" {
+			if r.Text, err = strconv.Unquote(rest); err != nil {
+				return r, fmt.Errorf("field text: %w", err)
+			}
+			return r, nil
+		}
+		v, rest, _ = strings.Cut(rest, " ")
+		var n int64
+		switch key {
+		case "who":
+			r.Who = v
+		case "of":
+			r.Of = v
+		case "zone":
+			r.Zone = v
+		case "ep":
+			n, err = strconv.ParseInt(v, 10, 64)
+			r.EP = uint32(n)
+		case "rpc":
+			r.RPC, err = strconv.ParseUint(v, 10, 64)
+		case "method":
+			r.Method, err = strconv.Atoi(v)
+		case "mark":
+			r.Mark, err = strconv.Atoi(v)
+		case "n":
+			r.N, err = strconv.ParseInt(v, 10, 64)
+		case "x":
+			r.X, err = strconv.ParseFloat(v, 64)
+		default:
+			err = fmt.Errorf("unknown field %q", key)
+		}
+		if err != nil {
+			return r, fmt.Errorf("field %s: %w", key, err)
+		}
+	}
+	return r, nil
+}
+
+// Read reads a whole trace; an error names the line.
+func Read(in io.Reader) (all []Record, err error) {
+	s := bufio.NewScanner(in)
+	s.Buffer(make([]byte, 1<<16), 1<<24)
+	for n := 1; s.Scan(); n++ {
+		r, err := Parse(s.Text())
+		if err != nil {
+			return all, fmt.Errorf("trace line %d: %w", n, err)
+		}
+		all = append(all, r)
+	}
+	return all, s.Err()
+}
--- /dev/null
+++ b/internal/virtual/virtual.go
@@ -0,0 +1,513 @@
+// Package virtual drives machines in virtual time over a network in memory: same seed, same day, to the byte. What a
+// socket does to its user it does too: bytes come in pieces, links are late, cut or reset, a process dies in the middle
+// of a frame.
+package virtual
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"slices"
+
+	"gingerfork/internal/machine"
+	"gingerfork/internal/trace"
+)
+
+// Maker makes a node's machine at a start; files are what its earlier lives saved.
+type Maker func(now machine.Seconds, files map[string][]byte) machine.Machine
+
+// Hindrance is what a link does to what passes on it. The zero value lets all pass.
+type Hindrance struct {
+	Cut   bool            // nothing passes, in either way; what was sent waits for the cut to heal
+	Drop  bool            // connections can't be opened, and standing ones are reset
+	Delay machine.Seconds // beside the link's own
+	Pace  float64         // bytes a second of each connection and way; 0: unbounded
+}
+
+// World is the network and all that is on it.
+type World struct {
+	now     machine.Seconds
+	seed    uint64
+	count   uint64
+	events  queue
+	nodes   map[string]*node
+	order   []*node
+	doors   map[string]door
+	links   []rule
+	same    machine.Seconds // latency within a zone
+	cross   machine.Seconds // and between zones
+	Trace   func(trace.Record)
+	Log     func(t machine.Seconds, node string, n machine.Note)
+	Fails   []string // of machines that failed
+	Steps   int
+	Bytes   int
+	longest int
+}
+
+type door struct {
+	node *node
+	at   int
+}
+
+type rule struct {
+	name  string
+	match func(a, b string) bool
+	h     Hindrance
+}
+
+type node struct {
+	name  string
+	zone  string
+	make  Maker
+	doors []string
+	files map[string][]byte
+
+	life    int // counts starts; 0: never started
+	up      bool
+	m       machine.Machine
+	inbox   []machine.Input
+	due     bool // a step is under way
+	wake    machine.Seconds
+	stalled machine.Seconds
+	conns   map[machine.Conn]*end
+	nextIn  machine.Conn
+}
+
+// end is one node's end of a connection.
+type end struct {
+	node  *node
+	life  int
+	id    machine.Conn
+	other *end
+	free  machine.Seconds // when what this end sends next may arrive: bytes keep their order
+	held  []piece         // sent while the link was cut
+	open  bool
+	gone  bool
+	lost  bool // its process died while the link was cut: the other side was not told
+}
+
+type piece struct {
+	data  []byte
+	close bool
+	why   string
+}
+
+type event struct {
+	at machine.Seconds
+	n  uint64
+	do func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return x
+}
+
+// New makes an empty world at a time.
+func New(seed uint64, now, same, cross machine.Seconds) *World {
+	return &World{now: now, seed: seed, nodes: map[string]*node{}, doors: map[string]door{}, same: same, cross: cross}
+}
+
+// Now is the time.
+func (w *World) Now() machine.Seconds { return w.now }
+
+func (w *World) draw() float64 {
+	w.count++
+	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, w.seed), w.count)
+	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+}
+
+// At has something done at a time.
+func (w *World) At(at machine.Seconds, do func()) {
+	w.count++
+	heap.Push(&w.events, event{max(at, w.now), w.count, do})
+}
+
+// Add puts a node on the network, reached at its doors' addresses; it does not run before Start.
+func (w *World) Add(name, zone string, make Maker, doors ...string) {
+	n := &node{name: name, zone: zone, make: make, doors: doors, files: map[string][]byte{}}
+	w.nodes[name] = n
+	w.order = append(w.order, n)
+	for i, d := range doors {
+		w.doors[d] = door{n, i}
+	}
+}
+
+// Names gives the names of all nodes, in the order in which they were added.
+func (w *World) Names() (all []string) {
+	for _, n := range w.order {
+		all = append(all, n.name)
+	}
+	return all
+}
+
+// Up tells whether a node runs.
+func (w *World) Up(name string) bool { n := w.nodes[name]; return n != nil && n.up }
+
+// Zone is a node's zone.
+func (w *World) Zone(name string) string {
+	if n := w.nodes[name]; n != nil {
+		return n.zone
+	}
+	return ""
+}
+
+// Machine is a running node's machine, nil if it does not run.
+func (w *World) Machine(name string) machine.Machine {
+	if n := w.nodes[name]; n != nil && n.up {
+		return n.m
+	}
+	return nil
+}
+
+// Start starts a node's process.
+func (w *World) Start(name string) {
+	n := w.nodes[name]
+	if n == nil || n.up {
+		return
+	}
+	n.life++
+	n.up, n.inbox, n.wake, n.stalled, n.nextIn = true, nil, machine.Never, 0, 0
+	n.conns = map[machine.Conn]*end{}
+	n.m = n.make(w.now, n.files)
+	w.step(n)
+}
+
+// Kill ends a node's process outright. Its peers see their connections reset, some in the middle of what was sent.
+func (w *World) Kill(name string) {
+	n := w.nodes[name]
+	if n == nil || !n.up {
+		return
+	}
+	n.up, n.m, n.inbox = false, nil, nil
+	for _, e := range w.ends(n) {
+		e.gone = true
+		if e.other != nil && w.between(n, e.other.node).Cut {
+			e.lost = true
+			continue
+		}
+		w.send(e, piece{close: true, why: "reset by the other side"})
+	}
+	n.conns = nil
+}
+
+func (w *World) ends(n *node) []*end {
+	all := make([]*end, 0, len(n.conns))
+	for _, e := range n.conns {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b *end) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Stall keeps a node from being stepped for a while, as a process that the machine does not run.
+func (w *World) Stall(name string, span machine.Seconds) {
+	if n := w.nodes[name]; n != nil && n.up {
+		n.stalled = max(n.stalled, w.now+span)
+		w.At(n.stalled, func() { w.step(n) })
+	}
+}
+
+// Tell hands a node's machine a script's word.
+func (w *World) Tell(name, text string) {
+	if n := w.nodes[name]; n != nil && n.up {
+		w.input(n, machine.Input{Kind: machine.Told, Text: text})
+	}
+}
+
+// Hinder puts a hindrance on all links between nodes that match, under a name; Clear takes it off again.
+func (w *World) Hinder(name string, h Hindrance, match func(a, b string) bool) {
+	w.links = append(w.links, rule{name, match, h})
+	if h.Drop {
+		w.Reset(match)
+	}
+}
+
+// Clear takes a hindrance off, and lets through what waited for that.
+func (w *World) Clear(name string) {
+	w.links = slices.DeleteFunc(w.links, func(r rule) bool { return r.name == name })
+	for _, n := range w.order {
+		for _, e := range w.ends(n) {
+			if len(e.held) > 0 && !w.between(n, e.other.node).Cut {
+				held := e.held
+				e.held = nil
+				for _, p := range held {
+					w.send(e, p)
+				}
+			}
+		}
+	}
+}
+
+// Reset breaks all connections between nodes that match, once.
+func (w *World) Reset(match func(a, b string) bool) {
+	for _, n := range w.order {
+		for _, e := range w.ends(n) {
+			if o := e.other; !e.gone && o.node.up && match(n.name, o.node.name) {
+				e.gone, o.gone = true, true
+				delete(n.conns, e.id)
+				delete(o.node.conns, o.id)
+				w.input(n, machine.Input{Kind: machine.Closed, Conn: e.id, Text: "reset by the other side"})
+				w.input(o.node, machine.Input{Kind: machine.Closed, Conn: o.id, Text: "reset by the other side"})
+			}
+		}
+	}
+}
+
+// between is what hinders two nodes' link at present; hindrances add up.
+func (w *World) between(a, b *node) (h Hindrance) {
+	for _, r := range w.links {
+		if r.match(a.name, b.name) || r.match(b.name, a.name) {
+			h.Cut, h.Drop, h.Delay = h.Cut || r.h.Cut, h.Drop || r.h.Drop, h.Delay+r.h.Delay
+			if r.h.Pace > 0 && (h.Pace == 0 || r.h.Pace < h.Pace) {
+				h.Pace = r.h.Pace
+			}
+		}
+	}
+	return h
+}
+
+func (w *World) latency(a, b *node) machine.Seconds {
+	base := w.same
+	if a.zone != b.zone {
+		base = w.cross
+	}
+	return base * (0.7 + 0.6*w.draw())
+}
+
+// Run goes on until a time.
+func (w *World) Run(until machine.Seconds) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// input gives a node something; all that comes at one moment is one step's.
+func (w *World) input(n *node, i machine.Input) {
+	n.inbox = append(n.inbox, i)
+	if !n.due {
+		n.due = true
+		life := n.life
+		w.At(w.now, func() {
+			if n.life == life {
+				n.due = false
+				w.step(n)
+			}
+		})
+	}
+}
+
+func (w *World) step(n *node) {
+	if !n.up || w.now < n.stalled {
+		return
+	}
+	in := n.inbox
+	n.inbox = nil
+	out := &machine.Out{}
+	out.Reset()
+	w.Steps++
+	n.m.Step(w.now, in, out)
+	for _, x := range out.Notes {
+		if w.Log != nil {
+			w.Log(w.now, n.name, x)
+		}
+	}
+	for _, r := range out.Trace {
+		if w.Trace != nil {
+			w.Trace(r)
+		}
+	}
+	if out.Fail != "" {
+		w.Fails = append(w.Fails, fmt.Sprintf("%.3f %s: %s", w.now, n.name, out.Fail))
+		w.Kill(n.name)
+		return
+	}
+	for name, data := range out.Saves {
+		n.files[name] = data
+	}
+	for _, a := range out.Acts {
+		w.act(n, a)
+	}
+	if out.Stop {
+		w.Kill(n.name)
+		return
+	}
+	if n.wake = out.Wake; n.wake < machine.Never {
+		life, wake := n.life, n.wake
+		w.At(wake, func() {
+			if n.life == life && n.wake == wake {
+				w.step(n)
+			}
+		})
+	}
+}
+
+func (w *World) act(n *node, a machine.Act) {
+	if a.Kind == machine.Dial {
+		w.dial(n, a.Conn, a.Addr, w.now+5)
+		return
+	}
+	e := n.conns[a.Conn]
+	if e == nil {
+		return
+	}
+	switch a.Kind {
+	case machine.Write:
+		if e.open {
+			w.Bytes += len(a.Data)
+			w.send(e, piece{data: a.Data})
+		}
+	default:
+		why := "closed by the other side"
+		if a.Kind == machine.Reset {
+			why = "reset by the other side"
+		}
+		e.gone = true
+		delete(n.conns, e.id)
+		if e.other != nil {
+			w.send(e, piece{close: true, why: why})
+		}
+	}
+}
+
+func (w *World) dial(n *node, id machine.Conn, addr string, last machine.Seconds) {
+	e := n.conns[id]
+	if e == nil {
+		e = &end{node: n, life: n.life, id: id}
+		n.conns[id] = e
+	}
+	d, known := w.doors[addr]
+	fail := func(why string) {
+		if !e.gone && n.life == e.life && n.up {
+			e.gone = true
+			delete(n.conns, id)
+			w.input(n, machine.Input{Kind: machine.Closed, Conn: id, Text: why})
+		}
+	}
+	if !known {
+		fail("can't be reached")
+		return
+	}
+	h := w.between(n, d.node)
+	life := n.life
+	alive := func() bool { return n.life == life && n.up && !e.gone }
+	switch {
+	case h.Cut:
+		if w.now >= last {
+			fail("no answer")
+			return
+		}
+		w.At(w.now+0.5, func() {
+			if alive() {
+				w.dial(n, id, addr, last)
+			}
+		})
+	default:
+		trip := w.latency(n, d.node) + h.Delay
+		w.At(w.now+trip, func() {
+			if !alive() {
+				return
+			}
+			if !d.node.up || h.Drop {
+				w.At(w.now+trip, func() { fail("refused") })
+				return
+			}
+			d.node.nextIn++
+			o := &end{node: d.node, life: d.node.life, id: d.node.nextIn, other: e, open: true}
+			e.other = o
+			d.node.conns[o.id] = o
+			w.input(d.node, machine.Input{Kind: machine.Opened, Conn: o.id, Door: d.at})
+			// Nothing that the other side sends at once may arrive before this end stands.
+			o.free = w.now + trip
+			w.At(w.now+trip, func() {
+				if alive() {
+					e.open = true
+					w.input(n, machine.Input{Kind: machine.Opened, Conn: id})
+				} else if !o.gone && o.node.conns[o.id] == o {
+					o.gone = true
+					delete(o.node.conns, o.id)
+					w.input(o.node, machine.Input{Kind: machine.Closed, Conn: o.id, Text: "reset by the other side"})
+				}
+			})
+		})
+	}
+}
+
+// send puts bytes, or the end, on the way to the other end.
+func (w *World) send(e *end, p piece) {
+	o := e.other
+	if o == nil {
+		return
+	}
+	h := w.between(e.node, o.node)
+	if o.lost && !h.Cut && !e.gone {
+		// Who writes to a process that is no more hears of it.
+		e.gone = true
+		delete(e.node.conns, e.id)
+		w.input(e.node, machine.Input{Kind: machine.Closed, Conn: e.id, Text: "reset by the other side"})
+	}
+	if o.gone || !o.node.up || o.life != o.node.life {
+		return
+	}
+	if h.Cut || len(e.held) > 0 {
+		e.held = append(e.held, p)
+		return
+	}
+	at := w.now + w.latency(e.node, o.node) + h.Delay
+	if h.Pace > 0 {
+		at += float64(len(p.data)) / h.Pace
+	}
+	e.free = max(e.free, at)
+	w.At(e.free, func() { w.arrive(e, p) })
+}
+
+func (w *World) arrive(e *end, p piece) {
+	o := e.other
+	if o.gone || !o.node.up || o.life != o.node.life {
+		return
+	}
+	if w.between(e.node, o.node).Cut {
+		e.held = append(e.held, p)
+		return
+	}
+	if p.close {
+		o.gone = true
+		delete(o.node.conns, o.id)
+		w.input(o.node, machine.Input{Kind: machine.Closed, Conn: o.id, Text: p.why})
+		return
+	}
+	data := p.data
+	if e.gone && e.life != e.node.life || !e.node.up {
+		// The sender was killed while this was under way: part of it is lost.
+		data = data[:int(w.draw()*float64(len(data)+1))]
+	}
+	// A stream has no seams: now and then a piece arrives in two.
+	if len(data) > 1 && w.draw() < 0.05 {
+		at := 1 + int(w.draw()*float64(len(data)-1))
+		w.input(o.node, machine.Input{Kind: machine.Data, Conn: o.id, Data: data[:at]})
+		data = data[at:]
+	}
+	if len(data) > 0 {
+		w.input(o.node, machine.Input{Kind: machine.Data, Conn: o.id, Data: data})
+	}
+}
