Places of servers and proxies long gone are given back; the adapter under one roof

Need: the module's dense index was never used again for servers long gone, so that each deploy under new ids made every step dearer; proxies kept their place for good.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,6 +59,7 @@
 	}
 	c.loop()
 	if now >= c.alarm {
+		c.tidy()
 		for _, p := range c.parts() {
 			c.post(p, clock{})
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -148,6 +148,8 @@
 	}
 	for _, o := range w.orders {
 		switch o := o.(type) {
+		case ClearTable:
+			delete(w.tables, o.Table)
 		case SetLine:
 			if w.tables[o.Table] == nil {
 				w.tables[o.Table] = map[EP]float64{}
@@ -188,6 +190,15 @@
 
 func (w *world) check() {
 	for id, s := range w.told {
+		if _, kept := w.c.index[id]; !kept { // its place was given back: no table may name it
+			for table, lines := range w.tables {
+				if s == Open || lines[id] > 0 {
+					w.t.Fatalf("%.2f: server %d lost its place while table %d names it", w.now, id, table)
+				}
+			}
+			delete(w.told, id)
+			continue
+		}
 		if i := w.c.index[id]; s != Open && !w.shut[id] && w.c.owed[i] == 0 {
 			w.t.Fatalf("%.2f: server %d is not open but neither withdrawn nor owed", w.now, id)
 		}
@@ -751,3 +762,56 @@
 		}
 	}
 }
+
+// Deploys under new ids and proxies that come and go for a term must not make steps dearer: places are given back.
+func TestPlacesAreGivenBack(t *testing.T) {
+	const servers, proxies = 20, 5
+	for _, deploys := range []int{60, 2000} { // the short one with all rules checked after each step
+		w := newWorld(t, map[string]any{"probes": false, "listing": "pushed"})
+		step := func(after Seconds, events ...Event) {
+			w.now += after
+			w.c.Step(w.now, events)
+		}
+		if deploys < 100 {
+			step = func(after Seconds, events ...Event) {
+				for p, q := range w.unacked {
+					if len(q) > 0 {
+						events = append(events, Answered{Proxy: p, Mark: q[len(q)-1], Delay: 0.1})
+					}
+				}
+				w.step(after, events...)
+			}
+		}
+		next, first := EP(1), Proxy(0)
+		var fleet []EP
+		for range servers {
+			step(0, Listed{Entries: []Entry{{EP: next, State: Open, Zone: "a", Weight: 1}}})
+			fleet, next = append(fleet, next), next+1
+		}
+		for ; first < proxies; first++ {
+			step(0, Joined{Proxy: first, Zone: "a", Rate: 5})
+		}
+		quiet := func() float64 { return testing.AllocsPerRun(20, func() { w.now += tick; w.c.Step(w.now, nil) }) }
+		step(KeepPlace)
+		before, most, mostProxies := quiet(), 0, 0
+		for deploy := range deploys {
+			old := fleet[deploy%servers]
+			step(30, Listed{Entries: []Entry{{EP: old, State: Gone}, {EP: next, State: Open, Zone: "a", Weight: 1, Start: w.now}}})
+			fleet[deploy%servers], next = next, next+1
+			for range 5 {
+				step(0.5, Left{first - proxies}, Joined{Proxy: first, Zone: "a", Rate: 5})
+				first++
+			}
+			most, mostProxies = max(most, len(w.c.id)), max(mostProxies, len(w.c.proxies))
+		}
+		for range 10 {
+			step(KeepPlace / 3)
+		}
+		if most > 4*servers || mostProxies > proxies+5*40 || len(w.c.index) > servers || len(w.c.proxies) > proxies {
+			t.Fatalf("%d deploys: places of %d servers and %d proxies are kept", deploys, most, mostProxies)
+		}
+		if after := quiet(); after > 2*before+10 {
+			t.Fatalf("%d deploys: a quiet step takes %v allocations, %v before", deploys, after, before)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -20,6 +20,8 @@
 	figures
 	eps     []*backend
 	index   map[EP]int
+	spared  []int     // places in the figures that were given back
+	gone    []Seconds // since when each server is gone; 0: it is not
 	zones   map[Zone]int
 	proxies []*proxy // by number
 	roll    *roll
@@ -140,6 +142,12 @@
 	if i, ok := c.index[id]; ok {
 		return i
 	}
+	if n := len(c.spared); n > 0 {
+		i := c.spared[n-1]
+		c.spared = c.spared[:n-1]
+		c.settleIn(i, id)
+		return i
+	}
 	i := len(c.id)
 	c.index[id] = i
 	c.eps = append(c.eps, &backend{c: c, i: i})
@@ -154,10 +162,65 @@
 	c.tries, c.bad = append(c.tries, nil), append(c.bad, nil)
 	c.delay, c.last = append(c.delay, nil), append(c.last, nil)
 	c.bench, c.fouls = append(c.bench, nil), append(c.fouls, nil)
+	c.gone = append(c.gone, 0)
 	c.widen(i)
 	return i
 }
 
+// settleIn gives a place that was given back to another server, as if it were new.
+func (c *Planner) settleIn(i int, id EP) {
+	c.index[id] = i
+	c.id[i], c.zone[i], c.weight[i], c.state[i], c.start[i] = id, 0, 1, Gone, 0
+	c.hash[i] = crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id)))
+	c.carry[i], c.cover[i], c.ease[i], c.shut[i], c.probe[i] = 0, 0, 1, false, 0
+	c.good[i], c.back[i], c.dealt[i], c.deaf[i], c.owed[i] = 0, 0, c.now, 0, 0
+	c.trust[i], c.leant[i], c.gone[i] = 1, 0, 0
+	for _, of := range [][][]float64{c.tries, c.bad, c.delay, c.last, c.bench} {
+		clear(of[i])
+	}
+	clear(c.fouls[i])
+}
+
+// tidy gives back the places of proxies that left, and of servers that are gone, so long ago that nothing names them
+// any more: else each deploy under new ids would make every step dearer.
+func (c *Planner) tidy() {
+	c.proxies = slices.DeleteFunc(c.proxies, func(p *proxy) bool {
+		if p.joined {
+			p.parted = 0
+			return false
+		}
+		if p.parted = cmp.Or(p.parted, c.now); c.now < p.parted+KeepPlace {
+			return false
+		}
+		for _, s := range p.sheets {
+			c.out = append(c.out, ClearTable{s.table})
+		}
+		return true
+	})
+	for i, state := range c.state {
+		switch _, used := c.index[c.id[i]]; {
+		case state != Gone || !used || c.index[c.id[i]] != i:
+			c.gone[i] = 0
+		case c.gone[i] == 0:
+			c.gone[i] = c.now
+		case c.now >= c.gone[i]+KeepPlace && !slices.ContainsFunc(c.proxies, func(p *proxy) bool { return p.names(i) }):
+			if c.shut[i] {
+				c.withdraw(i, false)
+			}
+			delete(c.index, c.id[i])
+			c.spared = append(c.spared, i)
+		}
+	}
+}
+
+// names tells whether a table of the proxy has, or may have, a line of a server.
+func (p *proxy) names(i int) bool {
+	is := func(l line) bool { return l.ep == i }
+	return slices.ContainsFunc(p.sheets, func(s *sheet) bool {
+		return slices.ContainsFunc(s.told, is) || slices.ContainsFunc(s.want, is)
+	})
+}
+
 // widen makes room for zones met since.
 func (c *Planner) widen(i int) {
 	for len(c.tries[i]) < len(c.zones) {
@@ -212,6 +275,7 @@
 	id        Proxy
 	zone      int
 	joined    bool
+	parted    Seconds // since when it is not
 	bound     bool
 	start     uint32    // of its arc, on the ring
 	settled   bool      // it has one
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"gingerfork/internal/host"
+	"gingerfork/internal/bench/host"
 )
 
 func main() {
--- a/internal/host/host.go
+++ b/internal/bench/host/host.go
@@ -8,7 +8,7 @@
 	"io"
 
 	"gingerfork/choice"
-	"gingerfork/internal/wire"
+	"gingerfork/internal/bench/wire"
 )
 
 const lists = 16
