--- a/internal/bootstrap/read.go
+++ b/internal/bootstrap/read.go
@@ -176,7 +176,7 @@
 }
 
 func (t *Trade) put(s *section, k *Keyword, v any, l Line) {
-	t.at[strings.TrimSpace(s.name+" "+s.arg+" "+k.Name)] = l
+	t.at[strings.Join(strings.Fields(s.name+" "+s.arg+" "+k.Name), " ")] = l
 	switch {
 	case k.Form == peer:
 		args := v.([]string)
--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,647 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"gingerfork/choice"
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+)
+
+func values(more map[string]any) map[string]any {
+	v := map[string]any{"listing": "asked", "ask_within": 10.0, "cold_share": 0.3, "warm_after": 10.0, "drain_grace": 2.0, "fall_multiple": 2.5,
+		"channel_room": 20000.0, "channel_pace": 10000.0, "message_lines": 10.0, "messages": 30.0, "messages_span": 10.0, "push_time": 0.1,
+		"push_time_worst": 0.3, "proxies": 4.0, "level_kind": "share", "report_period": 1.0, "probes": true, "try_wait": 0.8, "tick": 0.004,
+		"zone": "a", "zones.n": 2.0, "zones.0": "a", "zones.1": "b", "method.n": 2.0, "method.0.name": "read", "method.0.effect": "idempotent",
+		"method.0.soft_deadline": 1.0, "method.0.criticality": 1.0, "method.1.name": "submit", "method.1.effect": "non-idempotent",
+		"method.1.soft_deadline": 1.0, "method.1.criticality": 2.0}
+	for k, x := range more {
+		v[k] = x
+	}
+	return v
+}
+
+// rig drives a Machine by hand: it plays the list service and any number of proxies, byte by byte if need be.
+type rig struct {
+	t       *testing.T
+	m       *Machine
+	now     float64
+	out     machine.Out
+	list    machine.Conn
+	probes  map[machine.Conn]string
+	readers map[machine.Conn]*proto.Reader
+	got     map[machine.Conn][]proto.Message
+	closed  map[machine.Conn]bool
+	version uint64
+	saved   []byte
+	logs    []string
+}
+
+func newRig(t *testing.T, more map[string]any, kept []byte) *rig {
+	r := &rig{t: t, now: 1000, probes: map[machine.Conn]string{}, readers: map[machine.Conn]*proto.Reader{}, got: map[machine.Conn][]proto.Message{},
+		closed: map[machine.Conn]bool{}}
+	r.m = NewMachine(Bootstrap{Name: "c0", Zone: "a", ListAddr: "list", Module: choice.Bootstrap{Seed: 1, Now: r.now, Values: values(more)}, Handshake: 5,
+		Silence: 10, ListSilence: 5, ProbeTimeout: 1, MostStreams: 1000, MostProbes: 4}, kept)
+	return r
+}
+
+// step has the machine take inputs, and sorts what it says by connection.
+func (r *rig) step(after float64, in ...machine.Input) {
+	r.t.Helper()
+	r.now += after
+	r.out.Reset()
+	r.m.Step(r.now, in, &r.out)
+	if r.out.Fail != "" {
+		r.t.Fatal(r.out.Fail)
+	}
+	for _, n := range r.out.Notes {
+		r.logs = append(r.logs, fmt.Sprint(n.Text, n.Pairs))
+	}
+	if data := r.out.Saves[KeptList]; data != nil {
+		r.saved = data
+	}
+	for _, a := range r.out.Acts {
+		switch a.Kind {
+		case machine.Dial:
+			if a.Addr == "list" {
+				r.list = a.Conn
+			} else {
+				r.probes[a.Conn] = a.Addr
+			}
+		case machine.Write:
+			if r.readers[a.Conn] == nil {
+				r.readers[a.Conn] = &proto.Reader{}
+				r.readers[a.Conn].Open()
+			}
+			r.readers[a.Conn].Feed(a.Data)
+			for {
+				m, err := r.readers[a.Conn].Next()
+				if err != nil {
+					r.t.Fatal(err)
+				}
+				if m == nil {
+					break
+				}
+				r.got[a.Conn] = append(r.got[a.Conn], m)
+			}
+		default:
+			r.closed[a.Conn] = true
+		}
+	}
+}
+
+// run steps until a time has passed, whenever the machine asks for it.
+func (r *rig) run(span float64) {
+	r.t.Helper()
+	for end := r.now + span; r.now < end; {
+		r.step(max(0.0001, min(r.out.Wake, end)-r.now))
+	}
+}
+
+func data(c machine.Conn, all ...proto.Message) machine.Input {
+	var b []byte
+	for _, m := range all {
+		b = proto.Append(b, m)
+	}
+	return machine.Input{Kind: machine.Data, Conn: c, Data: b}
+}
+
+func opened(c machine.Conn) machine.Input { return machine.Input{Kind: machine.Opened, Conn: c} }
+func gone(c machine.Conn) machine.Input   { return machine.Input{Kind: machine.Closed, Conn: c} }
+
+func hello(name string) proto.Hello {
+	return proto.Hello{Version: proto.Version, Role: proto.RoleProxy, Name: name, Zone: "a", Rate: 10, Fresh: true}
+}
+
+func entry(ep int, state proto.ServerState) proto.Entry {
+	return proto.Entry{EP: proto.EP(ep), State: state, Zone: "a", Weight: 1, Old: true, Stamp: 1, Addr: fmt.Sprintf("s%d", ep)}
+}
+
+// listed answers the list's dial and shows the servers.
+func (r *rig) listed(n int) {
+	r.t.Helper()
+	r.run(0.5)
+	if r.list == 0 {
+		r.t.Fatal("the list service was not dialled")
+	}
+	r.version++
+	l := proto.List{Kind: proto.ListFull, Version: r.version}
+	for i := range n {
+		l.Entries = append(l.Entries, entry(i+1, proto.ServerOpen))
+	}
+	r.step(0.01, opened(r.list), data(r.list, proto.Welcome{Version: 1, Name: "list"}, l))
+	r.run(0.1)
+}
+
+func (r *rig) change(entries ...proto.Entry) {
+	r.version++
+	r.step(0.01, data(r.list, proto.List{Kind: proto.ListChanges, Base: r.version - 1, Version: r.version, Entries: entries}))
+}
+
+func (r *rig) join(c machine.Conn, name string) {
+	r.step(0.01, opened(c), data(c, hello(name)))
+}
+
+// pushes takes what a connection was pushed since it was last asked.
+func (r *rig) pushes(c machine.Conn) (all []proto.Push) {
+	for _, m := range r.got[c] {
+		if p, ok := m.(proto.Push); ok {
+			all = append(all, p)
+		}
+	}
+	r.got[c] = nil
+	return all
+}
+
+func (r *rig) refused(c machine.Conn) string {
+	for _, m := range r.got[c] {
+		if x, ok := m.(proto.Refuse); ok && r.closed[c] {
+			return x.Reason
+		}
+	}
+	return ""
+}
+
+func has(all []proto.Push, kind proto.OpKind, ep proto.EP) bool {
+	return slices.ContainsFunc(all, func(p proto.Push) bool {
+		return slices.ContainsFunc(p.Ops, func(o proto.Op) bool {
+			return o.Kind == kind && (ep == 0 || slices.Contains(o.Withdrawn, ep) || len(o.Lines) == 1 && o.Lines[0].EP == ep)
+		})
+	})
+}
+
+// The thin path: a proxy joins, gets its full table, answers, and a drain withdraws a server from it.
+func TestJoinAnswerDrain(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(4)
+	r.join(1, "f0")
+	r.run(0.1)
+	p := r.pushes(1)
+	if len(p) != 1 || !p[0].Marked || p[0].Seq != 1 || p[0].Ops[len(p[0].Ops)-1].Kind != proto.OpBind || len(p[0].Ops[len(p[0].Ops)-1].Lines) < 3 {
+		t.Fatalf("%+v", p)
+	}
+	r.step(0.01, data(1, proto.Answer{Mark: p[0].Mark}))
+	ep := p[0].Ops[len(p[0].Ops)-1].Lines[0].EP
+	r.change(entry(int(ep), proto.ServerDraining))
+	r.run(0.1)
+	if all := r.pushes(1); !has(all, proto.OpWithdraw, ep) {
+		t.Fatalf("server %d was not withdrawn: %+v", ep, all)
+	}
+	if f := r.m.Figures(); f.Joins != 1 || f.Stale != 0 || f.Messages != 2 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// An answer to a mark of an earlier stream, or to one never sent, is ignored; nothing breaks.
+func TestStaleAndUnknownAnswers(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(4)
+	r.join(1, "f0")
+	r.run(0.1)
+	old := r.pushes(1)[0].Mark
+	r.step(0.01, gone(1))
+	r.join(2, "f0")
+	r.run(0.1)
+	mark := r.pushes(2)[0].Mark
+	r.step(0.01, data(2, proto.Answer{Mark: old}, proto.Answer{Mark: 4711}))
+	if f := r.m.Figures(); f.Stale != 2 || r.closed[2] {
+		t.Fatalf("%+v", f)
+	}
+	r.step(0.01, data(2, proto.Answer{Mark: mark}, proto.Answer{Mark: mark}))
+	if f := r.m.Figures(); f.Stale != 3 || r.closed[2] {
+		t.Fatalf("an answer counted twice: %+v", f)
+	}
+}
+
+// A proxy that joins twice at once is followed on its newer stream only.
+func TestProxyJoinsTwiceAtOnce(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(4)
+	r.step(0.01, opened(1), opened(2), data(1, hello("f0")), data(2, hello("f0")))
+	r.run(0.2)
+	if got := r.refused(1); !strings.Contains(got, "joined again") {
+		t.Fatalf("the older stream: %q", got)
+	}
+	if p := r.pushes(2); len(p) != 1 || r.closed[2] {
+		t.Fatalf("the newer stream: %+v", p)
+	}
+	r.step(0.1, gone(1)) // its end comes late, and must not end the newer
+	r.change(entry(1, proto.ServerDraining), entry(2, proto.ServerDraining))
+	r.run(0.2)
+	if !has(r.pushes(2), proto.OpWithdraw, 0) {
+		t.Fatal("the newer stream is not followed")
+	}
+}
+
+// A proxy that never answers gets its table again, whole, and no other push in between.
+func TestSilentProxyIsSentAgain(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(4)
+	r.join(1, "f0")
+	r.run(0.1)
+	first := len(r.pushes(1))
+	r.change(proto.Entry{EP: 9, State: proto.ServerOpen, Zone: "a", Weight: 1, Old: true, Stamp: 1, Addr: "s9"})
+	r.step(0.05)
+	if first != 1 || len(r.pushes(1)) != 0 {
+		t.Fatal("a push went out beside the one in flight")
+	}
+	for i := range 12 {
+		r.run(0.5)
+		r.step(0, data(1, proto.Sums{Over: 1}))
+		if p := r.pushes(1); has(p, proto.OpBind, 0) {
+			return
+		} else if len(p) > 0 {
+			t.Fatalf("%d: an ordinary push with one in flight: %+v", i, p)
+		}
+	}
+	t.Fatal("no full table again")
+}
+
+// A drain that is told while a full table waits in a slow channel goes ahead, with the table before it.
+func TestDrainPassesByWhatWaits(t *testing.T) {
+	r := newRig(t, map[string]any{"channel_pace": 200.0, "messages": 0.0}, nil)
+	r.listed(6)
+	var in []machine.Input
+	for c := range machine.Conn(20) {
+		in = append(in, opened(c+1), data(c+1, hello(fmt.Sprint("f", c))))
+	}
+	r.step(0.01, in...)
+	r.run(0.02)
+	r.change(entry(1, proto.ServerDraining))
+	r.step(0.005)
+	waiting := 0
+	for c := range machine.Conn(20) {
+		if len(r.got[c+1]) == 1 {
+			waiting++
+		}
+	}
+	if waiting < 10 {
+		t.Fatalf("only %d of 20 tables wait: the channel is not slow enough for the test", waiting)
+	}
+	r.run(6)
+	for c := range machine.Conn(20) {
+		all := r.pushes(c + 1)
+		for i, p := range all {
+			if p.Seq != uint64(i+1) {
+				t.Fatalf("proxy %d: push %d comes as number %d", c, p.Seq, i+1)
+			}
+		}
+		if holds(all)[1] {
+			t.Errorf("proxy %d may still send to the drained server", c)
+		}
+	}
+}
+
+// holds is what a proxy may send to after its pushes.
+func holds(all []proto.Push) map[proto.EP]bool {
+	open, shut := map[proto.EP]bool{}, map[proto.EP]bool{}
+	for _, p := range all {
+		for _, o := range p.Ops {
+			if o.Kind == proto.OpBind {
+				open, shut = map[proto.EP]bool{}, map[proto.EP]bool{}
+			}
+			for _, l := range o.Lines {
+				open[l.EP], shut[l.EP] = l.Weight > 0, l.Shut
+			}
+			for _, ep := range o.Withdrawn {
+				shut[ep] = o.Kind != proto.OpReadmit
+			}
+		}
+	}
+	for ep := range shut {
+		open[ep] = open[ep] && !shut[ep]
+	}
+	return open
+}
+
+// An answer to a message that went ahead must not tell the module that those it passed have left.
+func TestAnswerToAWithdrawalWaitsForWhatItPassed(t *testing.T) {
+	core, err := New(choice.Bootstrap{Now: 10, Values: values(map[string]any{"channel_pace": 100.0})}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	streams := make([]*stream, 3)
+	for i := range streams {
+		core.Step(10, []Event{Join{StreamID(i + 1), hello(fmt.Sprint("f", i))}})
+		streams[i] = core.streams[StreamID(i+1)]
+	}
+	core.channel.free = 20 // it is busy
+	for i, s := range streams {
+		core.channel.add(&message{to: s, step: uint64(i + 1), lines: 10, marked: true, mark: choice.Mark(i + 1), urgent: i == 2})
+	}
+	core.out = Orders{}
+	core.channel.free = 10.5
+	core.pump(10.5)
+	if len(core.out.Sends) != 1 || core.out.Sends[0].Stream != 3 {
+		t.Fatalf("the withdrawal does not go first: %+v", core.out.Sends)
+	}
+	core.events = nil
+	core.answer(10.6, streams[2], 3)
+	core.release(10.6)
+	if len(core.events) != 0 {
+		t.Fatal("the answer went by two messages that still wait")
+	}
+	core.pump(30)
+	core.pump(31)
+	core.release(31)
+	if len(core.events) != 1 || core.channel.waiting != 0 {
+		t.Fatalf("%d answers, %d lines wait", len(core.events), core.channel.waiting)
+	}
+}
+
+// The list fails during a restart: the kept list serves at once, and the list service is asked again until it answers.
+func TestRestartWhileTheListFails(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(5)
+	if r.saved == nil {
+		t.Fatal("the list was not kept")
+	}
+	kept := r.saved
+	r = newRig(t, nil, kept)
+	r.join(1, "f0")
+	r.run(0.1)
+	if p := r.pushes(1); len(p) != 1 || len(holds(p)) < 3 {
+		t.Fatalf("a proxy is not served from the kept list: %+v", p)
+	}
+	asked := 0
+	for range 6 {
+		if was := r.list; was != 0 {
+			asked++
+			r.list = 0
+			r.step(0.01, machine.Input{Kind: machine.Closed, Conn: was, Text: "refused"})
+		}
+		r.run(3)
+		r.step(0, data(1, proto.Sums{Over: 1}))
+	}
+	if asked < 3 {
+		t.Fatalf("asked %d times in 18 s", asked)
+	}
+	for _, damage := range []func([]byte) []byte{
+		func(b []byte) []byte { return b[:len(b)-3] }, func(b []byte) []byte { b[len(b)-5] ^= 1; return b },
+		func([]byte) []byte { return nil }, func([]byte) []byte { return []byte("gingerfork-list 2 1 0\n") }} {
+		bad := newRig(t, nil, append([]byte{}, damage(slices.Clone(kept))...))
+		bad.step(0)
+		if len(bad.logs) == 0 || !strings.Contains(bad.logs[0], "kept list is not usable") || len(bad.m.core.roll.entries) > 0 {
+			t.Errorf("a damaged kept list: %q", bad.logs)
+		}
+	}
+}
+
+// Frames that are malformed, out of order or against the handshake close their stream with one reason, and no other.
+func TestBadStreamsTouchNoOther(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(4)
+	r.join(1, "good")
+	r.run(0.1)
+	r.pushes(1)
+	for i, c := range []struct {
+		in   []byte
+		want string
+	}{
+		{[]byte{0xff, 0, 0, 0, 1}, "a frame of"},
+		{proto.Append(nil, proto.Answer{Mark: 1}), "out of order"},
+		{proto.Append(nil, proto.Hello{Version: 9, Name: "x", Zone: "a"}), "version 9"},
+		{proto.Append(nil, proto.Hello{Version: 1, Name: "x y", Zone: "a"}), "name"},
+		{proto.Append(nil, proto.Hello{Version: 1, Name: "x", Zone: "mars"}), "zone \"mars\""},
+		{proto.Append(nil, proto.Hello{Version: 1, Role: proto.RoleWatcher, Name: "x", Zone: "a"}), "not served here"},
+		{proto.Append(proto.Append(nil, hello("x")), hello("x")), "out of order"},
+		{proto.Append(proto.Append(nil, hello("x")), proto.Push{}), "out of order"},
+		{proto.Append(proto.Append(nil, hello("x")), proto.RPC{}), "out of order"},
+	} {
+		conn := machine.Conn(10 + i)
+		r.step(0.01, opened(conn))
+		for _, b := range c.in { // a byte at a time
+			r.step(0, machine.Input{Kind: machine.Data, Conn: conn, Data: []byte{b}})
+		}
+		if got := r.refused(conn); !strings.Contains(got, c.want) {
+			t.Errorf("%d: refused with %q, want %q", i, got, c.want)
+		}
+		if n := len(r.m.sessions); n != 2 {
+			t.Fatalf("%d: %d sessions, the list's and the good proxy's expected", i, n)
+		}
+	}
+	r.change(entry(1, proto.ServerDraining))
+	r.run(1)
+	if r.closed[1] || !has(r.pushes(1), proto.OpWithdraw, 1) {
+		t.Fatal("the good proxy suffered")
+	}
+	// A stranger that says nothing, and a proxy whose link died without a word.
+	r.step(0, opened(50))
+	for range 24 {
+		r.run(0.5)
+		r.step(0, data(1, proto.Sums{Over: 0.5}))
+		r.step(0, data(r.list, proto.List{Kind: proto.ListChanges, Base: r.version, Version: r.version}))
+	}
+	if got := r.refused(50); !strings.Contains(got, "no hello") || r.closed[1] {
+		t.Fatalf("a silent stranger: %q", got)
+	}
+	r.run(11)
+	if got := r.refused(1); !strings.Contains(got, "silent") {
+		t.Fatalf("a silent proxy: %q", got)
+	}
+}
+
+// A list frame that is not right is refused whole; the list stays as it was, and is asked for again.
+func TestBadListsAreRefusedWhole(t *testing.T) {
+	for name, l := range map[string]proto.List{
+		"twice":    {Kind: proto.ListFull, Version: 9, Entries: []proto.Entry{entry(7, proto.ServerOpen), entry(7, proto.ServerOpen)}},
+		"gap":      {Kind: proto.ListChanges, Base: 7, Version: 8, Entries: []proto.Entry{entry(7, proto.ServerOpen)}},
+		"gone":     {Kind: proto.ListFull, Version: 9, Entries: []proto.Entry{entry(7, proto.ServerGone)}},
+		"nowhere":  {Kind: proto.ListFull, Version: 9, Entries: []proto.Entry{{EP: 7, State: proto.ServerOpen}}},
+		"half bad": {Kind: proto.ListChanges, Base: 1, Version: 2, Entries: []proto.Entry{entry(1, proto.ServerGone), {EP: 8, State: proto.ServerOpen}}},
+	} {
+		r := newRig(t, nil, nil)
+		r.listed(3)
+		was := r.list
+		r.list = 0
+		r.step(0.01, data(was, l))
+		if !r.closed[was] || len(r.m.core.roll.entries) != 3 || r.m.core.roll.version != 1 {
+			t.Errorf("%s: taken in part", name)
+		}
+		if r.run(3); r.list == 0 {
+			t.Errorf("%s: the list service is not asked again", name)
+		}
+	}
+	r := newRig(t, nil, nil)
+	r.listed(3)
+	for range 3 { // the same version again changes nothing
+		r.step(0.01, data(r.list, proto.List{Kind: proto.ListChanges, Base: 0, Version: 1, Entries: []proto.Entry{entry(1, proto.ServerDraining)}}))
+	}
+	if r.closed[r.list] || r.m.core.roll.entries[1].entry.State != choice.Open {
+		t.Error("a version that came twice applied twice")
+	}
+}
+
+// Stalled for 5 s with the clock jumped, the coordinator goes on: late events at once, and no burst past the limits.
+func TestStallAndJump(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(6)
+	r.join(1, "f0")
+	r.join(2, "f1")
+	r.run(0.1)
+	r.step(0, data(1, proto.Answer{Mark: r.pushes(1)[0].Mark}), data(2, proto.Answer{Mark: r.pushes(2)[0].Mark}))
+	var late []machine.Input
+	for range 5 {
+		late = append(late, data(1, proto.Sums{Over: 1}), data(2, proto.Sums{Over: 1}))
+	}
+	r.version++
+	late = append(late, data(r.list, proto.List{Kind: proto.ListChanges, Base: r.version - 1, Version: r.version, Entries: []proto.Entry{entry(1, proto.ServerDraining)}}))
+	r.step(5, late...)
+	if r.closed[1] || r.closed[2] {
+		t.Fatal("a proxy that was heard of in time was dropped")
+	}
+	r.run(0.05)
+	if a, b := r.pushes(1), r.pushes(2); len(a) > 2 || len(b) > 2 || holds(a)[1] || !has(append(a, b...), proto.OpWithdraw, 1) {
+		t.Fatalf("%+v %+v", a, b)
+	}
+}
+
+// Three hundred joins in one moment are one step's work, leave at the channel's pace and keep its limits.
+func TestStormOfJoins(t *testing.T) {
+	r := newRig(t, map[string]any{"proxies": 300.0}, nil)
+	r.listed(40)
+	steps := r.m.Figures().Steps
+	var in []machine.Input
+	for c := range machine.Conn(300) {
+		in = append(in, opened(c+1), data(c+1, hello(fmt.Sprint("f", c))))
+	}
+	r.step(0.01, in...)
+	if got := r.m.Figures().Steps - steps; got > 1 {
+		t.Fatalf("%d steps of the module", got)
+	}
+	r.run(2)
+	last := 0.0
+	for c := range machine.Conn(300) {
+		p := r.pushes(c + 1)
+		if len(p) == 0 || len(holds(p)) < 3 {
+			t.Fatalf("proxy %d has no table: %+v", c, p)
+		}
+		last = max(last, float64(p[0].Waiting))
+	}
+	if f := r.m.Figures(); f.MostWaiting > 20000 {
+		t.Fatalf("%d lines waited", f.MostWaiting)
+	}
+}
+
+// Sums reach the module gathered by zone, oldest first, no more lines a second than set, with the span they cover.
+func TestIntake(t *testing.T) {
+	k := newIntake(choice.Bootstrap{Values: map[string]any{"intake": 10.0, "report_period": 1.0}})
+	all := func(choice.EP) bool { return true }
+	now := 100.0
+	k.due(now)
+	for p := range 20 {
+		s := &stream{proxy: choice.Proxy(p), zone: "a"}
+		k.heard(now, s, proto.Sums{Over: 2, Usage: []proto.Usage{{Method: 0, RPCs: 3, Bad: 1}, {Method: 9, RPCs: 3}},
+			Tries: []proto.Tries{{EP: 1, Tries: 4, Bad: 2, Delay: 0.1}, {EP: 2, Tries: 1, Delay: 0.2}}}, all, 2)
+	}
+	tries, usage, at := 0, 0, []float64{}
+	for range 80 {
+		now += 0.1
+		for _, e := range k.due(now) {
+			at = append(at, now)
+			switch e := e.(type) {
+			case choice.TrySum:
+				if tries++; e.EP == 1 && (e.Tries != 80 || e.Bad != 40 || e.Delay < 0.0999 || e.Delay > 0.1001 || e.Over != 2) {
+					t.Errorf("%+v", e)
+				}
+			case choice.UsageSum:
+				if usage++; e.RPCs != 3 || e.Bad != 1 || e.Method != 0 {
+					t.Errorf("%+v", e)
+				}
+			}
+		}
+	}
+	if tries != 2 || usage != 20 {
+		t.Fatalf("%d lines of tries, %d of usage", tries, usage)
+	}
+	for i := range at {
+		if i >= 12 && at[i]-at[i-12] < 1 {
+			t.Fatalf("12 lines within %.2f s, 10 a second let in", at[i]-at[i-12])
+		}
+	}
+	// However late the module is, what waits is bounded by pairs.
+	for range 1000 {
+		k.heard(now, &stream{zone: "a"}, proto.Sums{Over: 1, Usage: []proto.Usage{{Method: 0, RPCs: 1}}, Tries: []proto.Tries{{EP: 1, Tries: 1}}}, all, 2)
+	}
+	if n := len(k.queue) - k.head; n > 2 {
+		t.Fatalf("%d lines wait for one server and one proxy", n)
+	}
+}
+
+// A proxy's number goes to another only once the module has forgotten the first.
+func TestNumbersAreGivenBack(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(3)
+	core := r.m.core
+	for i := range 200 {
+		c := machine.Conn(i + 1)
+		r.join(c, fmt.Sprint("f", i))
+		r.run(0.02)
+		r.step(100, gone(c), data(r.list, proto.List{Kind: proto.ListChanges, Base: r.version, Version: r.version}))
+	}
+	if len(core.numbered) > 20 || len(core.tables) > 20 || len(core.members) > 20 {
+		t.Fatalf("%d numbers, %d tables and %d names for proxies that came one by one", len(core.numbered), len(core.tables), len(core.members))
+	}
+}
+
+// A panic of the module ends the instance with its text, and nothing of the step is carried out.
+func TestModulePanicLeavesNothingHalfDone(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(3)
+	r.join(1, "f0")
+	r.m.core.planner = nil
+	r.now += 1
+	r.out.Reset()
+	r.m.Step(r.now, []machine.Input{opened(2), data(2, hello("f1"))}, &r.out)
+	if !strings.Contains(r.out.Fail, "the decision module failed") || len(r.out.Acts) > 0 {
+		t.Fatalf("%q, %d acts", r.out.Fail, len(r.out.Acts))
+	}
+}
+
+// Other settings come into force with a fresh instance of the module; proxies join again and nothing else is lost.
+func TestRenew(t *testing.T) {
+	r := newRig(t, nil, nil)
+	r.listed(4)
+	r.join(1, "f0")
+	r.run(0.1)
+	boot := r.m.boot
+	boot.Module.Values = values(map[string]any{"report_period": 3.0})
+	boot.Module.Now = r.now
+	r.m.Renew(boot)
+	r.step(0.01)
+	if got := r.refused(1); !strings.Contains(got, "join again") {
+		t.Fatalf("the proxy was told %q", got)
+	}
+	r.join(2, "f0")
+	r.run(0.1)
+	w, ok := r.got[2][0].(proto.Welcome)
+	if p := r.pushes(2); !ok || w.Period != 3 || len(p) != 1 || len(holds(p)) < 3 {
+		t.Fatalf("%+v %+v", w, p)
+	}
+}
+
+// Servers that owe answers are probed, within bounds; a probe that hangs ends by its time-out.
+func TestProbes(t *testing.T) {
+	r := newRig(t, map[string]any{"report_period": 0.2}, nil)
+	r.listed(8)
+	r.join(1, "f0")
+	r.run(0.1)
+	r.step(0, data(1, proto.Answer{Mark: r.pushes(1)[0].Mark}))
+	most := 0
+	for range 60 { // only server 1 answers
+		r.step(0.1, data(1, proto.Sums{Over: 0.1, Usage: []proto.Usage{{RPCs: 20}}, Tries: []proto.Tries{{EP: 1, Tries: 20, Delay: 0.01}}}))
+		r.run(0.05)
+		most = max(most, r.m.probing)
+	}
+	if len(r.probes) < 8 || most > 4 || most == 0 {
+		t.Fatalf("%d probes, %d at once", len(r.probes), most)
+	}
+	for c, addr := range r.probes {
+		if addr == "s1" {
+			t.Errorf("the server that answers was probed on %d", c)
+		}
+	}
+}
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -161,6 +161,7 @@
 	step    uint64
 	stepped choice.Seconds
 	touched []*stream
+	fresh   []StreamID // joined since the last step
 	out     Orders
 	figures Figures
 }
@@ -303,6 +304,7 @@
 	m.stream = s
 	c.streams[e.Stream], c.numbered[s.proxy] = s, s
 	c.figures.Joins++
+	c.fresh = append(c.fresh, s.id)
 	c.events = append(c.events, choice.Joined{Proxy: s.proxy, Zone: s.zone, Rate: e.Hello.Rate, Fresh: e.Hello.Fresh})
 }
 
@@ -382,6 +384,7 @@
 			c.carry(now, o)
 		}
 	}
+	c.shutOut()
 	if mark != nil && mark.All {
 		for s := range c.joined() {
 			c.of(s)
@@ -399,6 +402,30 @@
 	c.touched = c.touched[:0]
 }
 
+// shutOut tells proxies that joined in this step what is withdrawn, where the module has no table to give them: as what
+// they hold of an earlier stream stays in force, they would go on sending there. A withdrawal is a standing order to
+// all that are joined, whenever they joined; a table carries its own.
+func (c *Core) shutOut() {
+	for _, id := range c.fresh {
+		s := c.streams[id]
+		if s == nil || len(s.binds) > 0 {
+			continue
+		}
+		all := make([]choice.EP, 0, len(c.shut))
+		for ep := range c.shut {
+			if !s.shut[ep] {
+				all = append(all, ep)
+			}
+		}
+		slices.Sort(all)
+		for _, ep := range all {
+			s.shut[ep] = true
+			c.add(s, proto.Op{Kind: proto.OpWithdraw, Withdrawn: []proto.EP{proto.EP(ep)}}, 1)
+		}
+	}
+	c.fresh = c.fresh[:0]
+}
+
 func (c *Core) ask(now choice.Seconds, events []choice.Event) (orders []choice.Order) {
 	defer func() {
 		if r := recover(); r != nil {
--- a/internal/coordinator/intake.go
+++ b/internal/coordinator/intake.go
@@ -85,8 +85,8 @@
 // due gives the lines that may be handed over now.
 func (k *intake) due(now choice.Seconds) (events []choice.Event) {
 	if k.rate > 0 {
-		// Lines not used up in one period are not saved for a rush.
-		k.credit = min(k.credit+(now-k.last)*k.rate, k.rate*k.period)
+		// Lines not used up are not saved for a rush: at most a twentieth of a second's.
+		k.credit = min(k.credit+(now-k.last)*k.rate, max(1, k.rate/20))
 	}
 	k.last = now
 	for k.head < len(k.queue) {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -33,6 +33,8 @@
 	Messages     int // to a proxy within Span; 0: any number
 	Span         float64
 	OnlyDraining bool
+	ListSilence  float64 // after which a coordinator gives up a stream of the list service
+	AskWithin    float64 // a coordinator that is not told must have asked within this
 	Methods      []Method
 }
 
@@ -91,6 +93,17 @@
 	list  map[uint32]told
 	ready float64 // since when it shows an open, warm server without a break; Inf: it does not
 	ripe  float64 // when that may become so by time alone
+	// deaf tells until when it does not run: what comes for it meanwhile it is told then.
+	deaf float64
+	// cut counts what cuts it off from the list service, since the time in off; what the service sent meanwhile waits.
+	cut  int
+	off  float64
+	wait []trace.Record
+	// behind: the stream to the list service died in a cut, and it must ask again; asked is when it last did.
+	behind bool
+	asked  float64
+	// perhaps holds servers whose news may or may not have come through just before that.
+	perhaps map[uint32]bool
 }
 
 type table struct {
@@ -107,7 +120,17 @@
 	bare      []float64 // by method, since when; Inf: it has a line
 	struck    []bool    // the present bare time was counted
 	pushes    []float64
-	applied   float64 // the last push took effect
+	applied   float64        // the last push took effect
+	deaf      float64        // it does not run until then
+	cut       map[string]int // coordinators from which its link is cut: no word can reach it, so it is not joined
+}
+
+// follows is the coordinator whose orders can reach the proxy, "" if none's can.
+func (p *proxy) follows() string {
+	if p.cut[p.of] > 0 {
+		return ""
+	}
+	return p.of
 }
 
 type try struct {
@@ -193,7 +216,7 @@
 func (c *checker) proxy(name string) *proxy {
 	p := c.who[name]
 	if p == nil {
-		p = &proxy{tables: map[int]*table{}, withdrawn: map[uint32]bool{}}
+		p = &proxy{tables: map[int]*table{}, cut: map[string]int{}, withdrawn: map[uint32]bool{}}
 		for range c.l.Methods {
 			p.methods, p.bare, p.struck = append(p.methods, -1), append(p.bare, 0), append(p.struck, false)
 		}
@@ -222,10 +245,10 @@
 
 // stays looks how long a proxy has been without a line by t.
 func (c *checker) stays(name string, p *proxy, t float64) {
-	if p.of != "" {
+	if p.follows() != "" {
 		ready := c.coordinator(p.of).ready
 		for m, since := range p.bare {
-			from := max(since, ready, p.joined)
+			from := max(since, ready, p.joined, p.deaf)
 			if math.IsInf(from, 1) || t <= from {
 				continue
 			}
@@ -265,6 +288,7 @@
 	case trace.Boot:
 		// What the killed instance was told is no longer its duty; the new one knows at most what was kept.
 		x := c.coordinator(r.Who)
+		x.deaf, x.wait = 0, nil
 		for ep, e := range x.list {
 			e.at = max(e.at, r.T)
 			x.list[ep] = e
@@ -273,9 +297,10 @@
 		c.look(x, r.T)
 	case trace.Kill:
 		if p := c.who[r.Who]; p != nil {
-			*p = proxy{}
+			cut := p.cut // a link's trouble is not its process's
 			delete(c.who, r.Who)
 			c.names = slices.DeleteFunc(c.names, func(n string) bool { return n == r.Who })
+			c.proxy(r.Who).cut = cut
 		}
 	case trace.Join:
 		p := c.proxy(r.Who)
@@ -286,6 +311,33 @@
 			c.stays(r.Who, p, r.T)
 			p.of = ""
 		}
+	case trace.Stall:
+		if p := c.who[r.Who]; p != nil {
+			p.deaf = max(p.deaf, r.T+r.X)
+			break
+		}
+		x := c.coordinator(r.Who)
+		x.deaf = max(x.deaf, r.T+r.X)
+	case trace.Ask:
+		x := c.coordinator(r.Of)
+		x.asked = r.T
+		if x.cut == 0 {
+			x.wait = nil // it dialled anew: the answer has it all
+		}
+	case trace.Cut, trace.Heal:
+		if r.Who == "list" {
+			return c.listLink(r)
+		}
+		p := c.proxy(r.Who)
+		c.stays(r.Who, p, r.T)
+		if r.Kind == trace.Cut {
+			p.cut[r.Of]++
+		} else if p.cut[r.Of]--; p.cut[r.Of] <= 0 {
+			delete(p.cut, r.Of)
+			if p.of == r.Of {
+				p.joined = r.T // what was held back arrives now
+			}
+		}
 	case trace.Push:
 		c.push(r)
 	case trace.Apply:
@@ -307,7 +359,7 @@
 		c.end(r)
 	case trace.Trouble:
 		c.report.Troubles++
-	case trace.Gone, trace.Ask:
+	case trace.Gone:
 	default:
 		return fmt.Errorf("unknown kind")
 	}
@@ -455,8 +507,62 @@
 	return nil
 }
 
+// listLink follows the link between a coordinator and the list service. A stream that was cut for long is given up: what
+// it held is lost, and the coordinator has to ask again.
+func (c *checker) listLink(r trace.Record) error {
+	x := c.coordinator(r.Of)
+	if r.Kind == trace.Cut {
+		if x.cut++; x.cut == 1 {
+			x.off = r.T
+		}
+		return nil
+	}
+	if x.cut--; x.cut > 0 {
+		return nil
+	}
+	wait := x.wait
+	x.wait = nil
+	if r.T-x.off > c.l.ListSilence-1.5 {
+		// Or it just lived on: then the next news comes without a call, and these came before it.
+		x.behind, x.asked, x.perhaps, x.wait = true, max(x.asked, r.T), map[uint32]bool{}, wait
+		for _, w := range wait {
+			for _, e := range strings.Fields(w.Text) {
+				id, _, _ := strings.Cut(e, ":")
+				if ep, err := strconv.ParseUint(id, 10, 32); err == nil {
+					x.perhaps[uint32(ep)] = true
+				}
+			}
+		}
+		return nil
+	}
+	for _, w := range wait {
+		w.T = r.T
+		if err := c.list(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // list follows what a coordinator was told; without a coordinator it is the truth.
 func (c *checker) list(r trace.Record) error {
+	if r.Of != "" {
+		x := c.coordinator(r.Of)
+		if x.cut > 0 {
+			x.wait = append(x.wait, r)
+			return nil
+		}
+		x.behind = false
+		r.T = max(r.T, x.deaf)
+		wait := x.wait
+		x.wait = nil
+		for _, w := range wait {
+			w.T = r.T
+			if err := c.list(w); err != nil {
+				return err
+			}
+		}
+	}
 	kind, rest, _ := strings.Cut(r.Text, " ")
 	x := &coordinator{list: c.truth}
 	if r.Of != "" {
@@ -514,9 +620,18 @@
 	c.report.Tries++
 	c.open[r.RPC] = r.Method
 	p := c.proxy(r.Who)
-	if p.of != "" {
+	if p.follows() != "" {
 		e, known := c.coordinator(p.of).list[r.EP]
 		binds := known && (e.state == 'd' || e.state == 'g' && !c.l.OnlyDraining)
+		x := c.coordinator(p.of)
+		binds = binds && !(x.behind && x.perhaps[r.EP])
+		if !binds && x.behind && r.T > x.asked+c.l.AskWithin {
+			// It does not ask, and so counts as told of what was listed that long ago.
+			if e, known = c.truth[r.EP]; known && e.state != 'o' {
+				binds = e.state == 'd' || !c.l.OnlyDraining
+				e.at += c.l.AskWithin
+			}
+		}
 		if from := max(e.at, p.joined); binds {
 			c.near(3, (r.T-from)/c.l.Grace, "%s sent to server %d %.2f s after %s was told", r.Who, r.EP, r.T-from, p.of)
 			if r.T-from > c.l.Grace {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -28,6 +28,9 @@
 	Start   = "start"   // EP: a server's process started cold; X: its full capacity, RPCs a second
 	Fall    = "fall"    // EP: it fell over while cold, Text: who brought the load
 	Gone    = "gone"    // EP: its process ended
+	Cut     = "cut"     // Who: proxy or list service, Of: coordinator: nothing passes between them
+	Heal    = "heal"    // Who: proxy or list service, Of: coordinator: it does again
+	Stall   = "stall"   // Who: a coordinator or proxy that does not run, X: for so many seconds
 	Trouble = "trouble" // Text: what the script did
 	Offer   = "offer"   // EP, X: capacity at present, N: RPCs that came in the window (when near its bound)
 )
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -245,7 +245,7 @@
 	w.links = slices.DeleteFunc(w.links, func(r rule) bool { return r.name == name })
 	for _, n := range w.order {
 		for _, e := range w.ends(n) {
-			if len(e.held) > 0 && !w.between(n, e.other.node).Cut {
+			if len(e.held) > 0 && e.other != nil && !w.between(n, e.other.node).Cut {
 				held := e.held
 				e.held = nil
 				for _, p := range held {
@@ -260,7 +260,7 @@
 func (w *World) Reset(match func(a, b string) bool) {
 	for _, n := range w.order {
 		for _, e := range w.ends(n) {
-			if o := e.other; !e.gone && o.node.up && match(n.name, o.node.name) {
+			if o := e.other; o != nil && !e.gone && o.node.up && match(n.name, o.node.name) {
 				e.gone, o.gone = true, true
 				delete(n.conns, e.id)
 				delete(o.node.conns, o.id)
