--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -571,6 +571,25 @@
 	}
 }
 
+// Rounding must not make the intake ask for the same moment for ever. Found by a day that never ended.
+func TestIntakeDoesNotSpin(t *testing.T) {
+	for _, rate := range []float64{3, 7, 500, 1e4 / 3} {
+		k := newIntake(choice.Bootstrap{Now: 1e6, Values: map[string]any{"intake": rate, "report_period": 2.0}})
+		for p := range 50 {
+			k.heard(1e6, &stream{proxy: choice.Proxy(p)}, proto.Sums{Usage: []proto.Usage{{RPCs: 1}}}, nil, 1)
+		}
+		now, steps, handed := 1e6, 0, 0
+		for at, any := now, true; any && steps < 200; at, any = k.wake() {
+			now = max(now, at)
+			handed += len(k.due(now))
+			steps++
+		}
+		if handed != 50 {
+			t.Errorf("at %v lines a second, %d of 50 lines after %d steps", rate, handed, steps)
+		}
+	}
+}
+
 // A proxy's number goes to another only once the module has forgotten the first.
 func TestNumbersAreGivenBack(t *testing.T) {
 	r := newRig(t, nil, nil)
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -241,9 +241,13 @@
 		c.wake(at)
 	}
 	c.forget(now)
+	// Whatever asks, the next step is not at this very moment: it would be asked for again and again.
+	c.out.Wake = max(c.out.Wake, now+shortest)
 	return c.out
 }
 
+const shortest choice.Seconds = 1e-4
+
 func (c *Core) wake(at choice.Seconds) { c.out.Wake = min(c.out.Wake, at) }
 
 func (c *Core) take(now choice.Seconds, e Event) {
--- a/internal/coordinator/intake.go
+++ b/internal/coordinator/intake.go
@@ -19,6 +19,10 @@
 	usage  map[usagePair]*sum
 }
 
+// whole is the credit that a line takes: one, but for what rounding loses of it. Else a step at the very moment that was
+// asked for could find a hair too little, and ask for that moment again.
+const whole = 1 - 1e-6
+
 type (
 	tryPair struct {
 		ep   choice.EP
@@ -92,7 +96,7 @@
 	for k.head < len(k.queue) {
 		x := k.queue[k.head]
 		if x != nil {
-			if x.ripe > now || k.rate > 0 && k.credit < 1 {
+			if x.ripe > now || k.rate > 0 && k.credit < whole {
 				break
 			}
 			k.credit--
@@ -122,7 +126,7 @@
 		return 0, false
 	}
 	at = k.queue[k.head].ripe
-	if k.rate > 0 && k.credit < 1 {
+	if k.rate > 0 && k.credit < whole {
 		at = max(at, k.last+(1-k.credit)/k.rate)
 	}
 	return at, true
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -70,6 +70,8 @@
 	due     bool // a step is under way
 	wake    machine.Seconds
 	stalled machine.Seconds
+	last    machine.Seconds // step,
+	same    int             // and how many there were at that moment
 	conns   map[machine.Conn]*end
 	nextIn  machine.Conn
 }
@@ -321,6 +323,15 @@
 	if !n.up || w.now < n.stalled {
 		return
 	}
+	if n.last != w.now {
+		n.last, n.same = w.now, 0
+	}
+	if n.same++; n.same > 10000 {
+		// It asks for a step at the moment of each step: on sockets it would take a whole core.
+		w.Fails = append(w.Fails, fmt.Sprintf("%.6f %s: it spins", w.now, n.name))
+		w.Kill(n.name)
+		return
+	}
 	in := n.inbox
 	n.inbox = nil
 	out := &machine.Out{}
