Measurements, a comparison with a control-plane cache, and the pages for operators

Need: the issue asks for growth and ratios rather than claims, and for pages by which a stranger can run a coordinator or write a proxy.

--- a/cmd/gingerfork/main.go
+++ b/cmd/gingerfork/main.go
@@ -30,6 +30,7 @@
 	Check    checkCmd    `cmd:"" help:"Check settings files and days, and report every fault. Example: gingerfork check perth.conf evening.day"`
 	Rehearse rehearseCmd `cmd:"" help:"Play scripted days against real coordinators and judge the rules. Example: gingerfork rehearse evening"`
 	Standin  standinCmd  `cmd:"" help:"Run one stand-in as a process of its own. Example: gingerfork standin server --listen 127.0.0.1:7501 --ep 1"`
+	Measure  measureCmd  `cmd:"" help:"Take the figures of docs/performance.md on this machine. Example: gingerfork measure drains"`
 	Settings settingsCmd `cmd:"" help:"Print what every keyword of the settings means. Example: gingerfork settings > docs/settings.md"`
 	Version  versionCmd  `cmd:"" help:"Print the version. Example: gingerfork version"`
 
--- /dev/null
+++ b/compare/compare_test.go
@@ -0,0 +1,280 @@
+// Package compare holds a one-server change pushed by this project's coordinator against the same change pushed by an
+// existing control-plane cache (go-control-plane's delta cache over gRPC). It is a module of its own, so that the
+// program does not carry what it is compared with. Run it by hand:
+//
+//	cd compare && go test -run xxx -bench . -benchtime 20x
+package compare
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpoint "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	eds "github.com/envoyproxy/go-control-plane/envoy/service/endpoint/v3"
+	"github.com/envoyproxy/go-control-plane/pkg/cache/types"
+	"github.com/envoyproxy/go-control-plane/pkg/cache/v3"
+	"github.com/envoyproxy/go-control-plane/pkg/resource/v3"
+	"github.com/envoyproxy/go-control-plane/pkg/server/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"gingerfork/choice"
+	"gingerfork/internal/coordinator"
+	"gingerfork/internal/loop"
+	"gingerfork/internal/proto"
+	"gingerfork/internal/standin"
+	"gingerfork/internal/trace"
+)
+
+const (
+	servers = 100
+	arc     = 6
+)
+
+// holds is the arc of a subscriber: both sides give it as many servers.
+func holds(subscriber, server int) bool { return (server-subscriber*7%servers+servers)%servers < arc }
+
+func BenchmarkOneServerChange(b *testing.B) {
+	for _, n := range []int{100, 300, 1000} {
+		b.Run(fmt.Sprintf("gingerfork/%d", n), func(b *testing.B) { ours(b, n) })
+		b.Run(fmt.Sprintf("go-control-plane/%d", n), func(b *testing.B) { theirs(b, n) })
+	}
+}
+
+func report(b *testing.B, spent time.Duration, bytes, reached int) {
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "us/change")
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/change")
+	b.ReportMetric(float64(reached)/float64(b.N), "subscribers/change")
+}
+
+// ours: a coordinator on sockets; a server drains, and the time runs until the last proxy that holds it has applied that.
+func ours(b *testing.B, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	values := map[string]any{"listing": "asked", "ask_within": 10.0, "cold_share": 0.3, "warm_after": 10.0, "drain_grace": 2.0, "fall_multiple": 2.5,
+		"channel_room": 1e9, "channel_pace": 1e9, "message_lines": 10.0, "messages": 0.0, "push_time": 0.01, "push_time_worst": 0.3, "proxies": float64(n),
+		"level_kind": "none", "report_period": 2.0, "zone": "a", "zones.n": 1.0, "zones.0": "a", "method.n": 1.0, "method.0.name": "read",
+		"method.0.effect": "idempotent", "method.0.soft_deadline": 1.0, "method.0.criticality": 1.0}
+	clock := loop.NewClock()
+	var all []standin.Listing
+	for i := range servers {
+		all = append(all, standin.Listing{EP: proto.EP(i + 1), State: proto.ServerOpen, Zone: "a", Weight: 1, Stamp: 1, Addr: "127.0.0.1:1"})
+	}
+	must := func(l *loop.Loop, err error) *loop.Loop {
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { l.Stop(); _ = l.Wait() })
+		return l
+	}
+	list := must(loop.Start(ctx, loop.Bootstrap{Machine: standin.NewList(all), Listen: []string{"127.0.0.1:0"}, Clock: clock}))
+	m := coordinator.NewMachine(coordinator.Bootstrap{Name: "c0", Zone: "a", ListAddr: list.Addrs()[0], Module: choice.Bootstrap{Seed: 1, Now: clock.Now(), Values: values},
+		Handshake: 30, Silence: 60, ListSilence: 30, ProbeTimeout: 5, MostStreams: 20000, MostProbes: 4}, nil)
+	c := must(loop.Start(ctx, loop.Bootstrap{Machine: m, Listen: []string{"127.0.0.1:0"}, Clock: clock}))
+	crowd := standin.NewCrowd()
+	for i := range n {
+		crowd.Add(fmt.Sprint("f", i), standin.NewFrontEnd(standin.FrontTrade{Name: fmt.Sprint("f", i), Zone: "a", Coordinators: c.Addrs(),
+			Methods: []standin.MethodTrade{{Name: "read", Share: 1, SoftDeadline: 1, Deadline: 2}}, Pick: "even", Period: 2, ConnectTimeout: 1, Seed: uint64(i)}), 0)
+	}
+	var mu sync.Mutex
+	held := map[uint32]map[string]bool{} // who has a line, by server
+	joined := map[string]bool{}
+	var want int
+	var changing uint32
+	reached := make(chan struct{}, 1)
+	must(loop.Start(ctx, loop.Bootstrap{Machine: crowd, Clock: clock, Trace: func(records []trace.Record) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, r := range records {
+			if r.Kind != trace.Apply {
+				continue
+			}
+			for _, op := range strings.Split(r.Text, ";") {
+				words := strings.Fields(op)
+				if len(words) > 1 && words[0] == "withdraw" && words[1] == fmt.Sprint(changing) {
+					if want--; want == 0 {
+						reached <- struct{}{}
+					}
+				}
+				for _, w := range words[1:] {
+					if id, weight, ok := strings.Cut(w, ":"); ok {
+						ep, _ := strconv.Atoi(id)
+						if held[uint32(ep)] == nil {
+							held[uint32(ep)] = map[string]bool{}
+						}
+						held[uint32(ep)][r.Who] = !strings.HasPrefix(weight, "0") || weight != "0"
+						if weight == "0" || weight == "0!" {
+							delete(held[uint32(ep)], r.Who)
+						}
+					}
+				}
+			}
+			joined[r.Who] = true
+		}
+	}}))
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		mu.Lock()
+		done := len(joined) == n
+		mu.Unlock()
+		if done {
+			break
+		}
+		if time.Now().After(end) {
+			b.Fatal("not all joined")
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	bytes := func() int {
+		got := make(chan int)
+		c.Between(func() { got <- m.Figures().Bytes })
+		return <-got
+	}
+	before := bytes()
+	var spent time.Duration
+	total := 0
+	b.ResetTimer()
+	for i := range b.N {
+		mu.Lock()
+		changing = uint32(1 + i%servers)
+		want = len(held[changing])
+		total += want
+		mu.Unlock()
+		begin := time.Now()
+		list.Tell(fmt.Sprintf("state %d draining", changing))
+		select {
+		case <-reached:
+		case <-time.After(20 * time.Second):
+			b.Fatal("a change did not reach all")
+		}
+		spent += time.Since(begin)
+		list.Tell(fmt.Sprintf("state %d open", changing))
+		time.Sleep(60 * time.Millisecond)
+	}
+	b.StopTimer()
+	// The return of the server and the lines that take its place are in these bytes too: one change and its undoing.
+	report(b, spent, (bytes()-before)/2, total)
+}
+
+type counter struct{ bytes atomic.Int64 }
+
+func (c *counter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+func (c *counter) HandleRPC(_ context.Context, s stats.RPCStats) {
+	if out, ok := s.(*stats.OutPayload); ok {
+		c.bytes.Add(int64(out.WireLength))
+	}
+}
+func (c *counter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (c *counter) HandleConn(context.Context, stats.ConnStats)                       {}
+
+// theirs: a snapshot for each subscriber with one assignment of as many endpoints, served as deltas over gRPC. Which
+// subscribers hold the server is told to it: it decides nothing.
+func theirs(b *testing.B, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	snapshots := cache.NewSnapshotCache(false, cache.IDHash{}, nil)
+	version := 0
+	assign := func(sub, without int) {
+		version++
+		cla := &endpoint.ClusterLoadAssignment{ClusterName: "table"}
+		lb := &endpoint.LocalityLbEndpoints{}
+		for s := range servers {
+			if holds(sub, s) && s != without {
+				lb.LbEndpoints = append(lb.LbEndpoints, &endpoint.LbEndpoint{LoadBalancingWeight: wrapperspb.UInt32(100),
+					HostIdentifier: &endpoint.LbEndpoint_Endpoint{Endpoint: &endpoint.Endpoint{Address: &core.Address{Address: &core.Address_SocketAddress{
+						SocketAddress: &core.SocketAddress{Address: "127.0.0.1", PortSpecifier: &core.SocketAddress_PortValue{PortValue: uint32(s + 1)}}}}}}})
+			}
+		}
+		cla.Endpoints = []*endpoint.LocalityLbEndpoints{lb}
+		snap, err := cache.NewSnapshot(strconv.Itoa(version), map[resource.Type][]types.Resource{resource.EndpointType: {cla}})
+		if err == nil {
+			err = snapshots.SetSnapshot(ctx, fmt.Sprint("f", sub), snap)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := range n {
+		assign(i, -1)
+	}
+	count := &counter{}
+	g := grpc.NewServer(grpc.StatsHandler(count), grpc.MaxConcurrentStreams(1e6))
+	eds.RegisterEndpointDiscoveryServiceServer(g, server.NewServer(ctx, snapshots, nil))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go g.Serve(l)
+	defer g.Stop()
+	got := make(chan int, n)
+	for i := range n {
+		conn, err := grpc.NewClient(l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close()
+		stream, err := eds.NewEndpointDiscoveryServiceClient(conn).DeltaEndpoints(ctx)
+		if err != nil {
+			b.Fatal(err)
+		}
+		err = stream.Send(&discovery.DeltaDiscoveryRequest{Node: &core.Node{Id: fmt.Sprint("f", i)}, TypeUrl: resource.EndpointType, ResourceNamesSubscribe: []string{"table"}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		go func() {
+			for {
+				r, err := stream.Recv()
+				if err != nil {
+					return
+				}
+				_ = stream.Send(&discovery.DeltaDiscoveryRequest{TypeUrl: resource.EndpointType, ResponseNonce: r.Nonce})
+				got <- i
+			}
+		}()
+	}
+	wait := func(want int) {
+		for range want {
+			select {
+			case <-got:
+			case <-time.After(20 * time.Second):
+				b.Fatal("a change did not reach all")
+			}
+		}
+	}
+	wait(n)
+	time.Sleep(500 * time.Millisecond)
+	before := count.bytes.Load()
+	var spent time.Duration
+	total := 0
+	b.ResetTimer()
+	for i := range b.N {
+		for _, without := range []int{i % servers, -1} {
+			begin := time.Now()
+			want := 0
+			for sub := range n {
+				if holds(sub, i%servers) {
+					assign(sub, without)
+					want++
+				}
+			}
+			wait(want)
+			if without >= 0 {
+				spent += time.Since(begin)
+				total += want
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+	}
+	b.StopTimer()
+	report(b, spent, int(count.bytes.Load()-before)/2, total)
+}
--- /dev/null
+++ b/internal/coordinator/bench_test.go
@@ -0,0 +1,121 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gingerfork/choice"
+	"gingerfork/internal/proto"
+)
+
+// fleet is a core with so many servers and joined proxies, all of whose pushes were answered.
+func fleet(b testing.TB, servers, proxies int) (c *Core, now float64, version uint64) {
+	now = 1000
+	c, err := New(choice.Bootstrap{Now: now, Values: values(map[string]any{"proxies": float64(proxies), "channel_room": 1e9, "channel_pace": 1e9,
+		"messages": 0.0, "tick": 0.0, "probes": false})}, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	l := proto.List{Kind: proto.ListFull, Version: 1}
+	for i := range servers {
+		l.Entries = append(l.Entries, entry(i+1, proto.ServerOpen))
+	}
+	events := []Event{News{l}}
+	for i := range proxies {
+		events = append(events, Join{StreamID(i + 1), hello(fmt.Sprint("f", i))})
+	}
+	answerAll(c, now, c.Step(now, events))
+	return c, now + 1, 1
+}
+
+func answerAll(c *Core, now float64, o Orders) (lines, bytes int) {
+	var events []Event
+	for _, s := range o.Sends {
+		bytes += len(proto.Append(nil, s.Push))
+		lines += len(s.Push.Ops)
+		for _, op := range s.Push.Ops {
+			lines += len(op.Lines) + len(op.Levels)
+		}
+		events = append(events, Answer{s.Stream, s.Push.Mark})
+	}
+	c.Step(now+0.001, events)
+	return lines, bytes
+}
+
+var sizes = [][2]int{{100, 300}, {300, 800}, {600, 2000}}
+
+// One server drains and comes back: what that costs in bytes and lines, beside full tables to all, and which share of
+// the time the module takes.
+func BenchmarkOneServersChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			c, now, version := fleet(b, size[0], size[1])
+			full := 0
+			for s := range c.joined() {
+				for _, t := range s.binds {
+					op := proto.Op{Kind: proto.OpBind, Table: uint64(t)}
+					for ep, w := range c.tables[t].weight {
+						op.Lines = append(op.Lines, c.line(ep, w))
+					}
+					full += len(proto.Append(nil, proto.Push{Ops: []proto.Op{op}}))
+				}
+			}
+			lines, bytes := 0, 0
+			var within time.Duration
+			b.ResetTimer()
+			for i := range b.N {
+				now += 3
+				e := entry(1+i%size[0], proto.ServerDraining)
+				for range 2 {
+					version++
+					o := c.Step(now, []Event{News{proto.List{Kind: proto.ListChanges, Base: version - 1, Version: version, Entries: []proto.Entry{e}}}})
+					begin := time.Now()
+					n, m := answerAll(c, now, o)
+					within += time.Since(begin)
+					lines, bytes = lines+n, bytes+m
+					e.State = proto.ServerOpen
+					now += 0.5
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(2*b.N), "bytes/change")
+			b.ReportMetric(float64(lines)/float64(2*b.N), "lines/change")
+			b.ReportMetric(float64(full), "bytes/full-push")
+			b.ReportMetric(float64(full)/(float64(bytes)/float64(2*b.N)), "full/change")
+		})
+	}
+}
+
+// A step in which nothing came, and which part of it is the module's: the same steps of the same fleet without what is
+// around it.
+func BenchmarkQuietStep(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			whole, now, _ := fleet(b, size[0], size[1])
+			alone, _, _ := fleet(b, size[0], size[1])
+			begin := time.Now()
+			for i := range b.N {
+				alone.planner.Step(now+0.25*float64(i+1), nil)
+			}
+			module := time.Since(begin)
+			b.ResetTimer()
+			for i := range b.N {
+				whole.alarm = now + 0.25*float64(i+1)
+				whole.Step(whole.alarm, nil)
+			}
+			b.ReportMetric(100*float64(module)/float64(b.Elapsed()), "module-%")
+		})
+	}
+}
+
+// A storm of joins in one step.
+func BenchmarkStormOfJoins(b *testing.B) {
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				fleet(b, 100, n)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(n), "us/join")
+		})
+	}
+}
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -170,6 +170,7 @@
 type Figures struct {
 	Joins, Leaves, Superseded int
 	Messages, Lines           int
+	Bytes                     int // of pushes
 	Steps, Orders             int
 	Stale                     int // answers to marks not in flight
 	Sums, Handed              int
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -416,7 +416,9 @@
 		}
 	}
 	for _, x := range o.Sends {
-		out.Write(machine.Conn(x.Stream), proto.Append(nil, x.Push))
+		frame := proto.Append(nil, x.Push)
+		m.core.figures.Bytes += len(frame)
+		out.Write(machine.Conn(x.Stream), frame)
 	}
 	if o.ListBad != nil {
 		out.Log(3, "list frame refused, the list stays as it was", "cause", o.ListBad.Error())
