Tests of the stand-ins and of the virtual network; a cut keeps the order of what it holds

Change: tests of picks, tries, levels, strikes, silence, falls, tokens, list answers, relays, crowds, peers, and of the virtual network's cuts, ends, stalls. Mended, found by them: bytes under way when a cut began came after those sent during it, in the relay and in the virtual network alike.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -664,3 +664,36 @@
 		}
 	}
 }
+
+// Peers' notes come through within their bound; what can't go at once is lost, and harms nothing.
+func TestPeers(t *testing.T) {
+	r := newRig(t, map[string]any{"coordinators": 2.0, "self": 0.0}, nil)
+	r.m.boot.Peers = map[choice.Peer]string{1: "peer"}
+	r.listed(3)
+	tell := func(data string) {
+		r.out.Reset()
+		r.m.carry(r.now, Orders{Tells: []choice.Tell{{To: -1, Data: []byte(data)}}}, &r.out)
+	}
+	tell("lost")
+	if len(r.out.Acts) != 1 || r.out.Acts[0].Addr != "peer" {
+		t.Fatalf("%+v", r.out.Acts)
+	}
+	c := r.out.Acts[0].Conn
+	tell("lost too")
+	r.step(0.01, opened(c), data(c, proto.Welcome{Version: 1, Name: "c1"}))
+	tell(strings.Repeat("x", 300))
+	if len(r.out.Acts) != 0 {
+		t.Fatalf("more than a note may hold was sent: %+v", r.out.Acts)
+	}
+	if tell("\xff\x00!"); len(r.out.Acts) != 1 {
+		t.Fatalf("%+v", r.out.Acts)
+	}
+	r.step(0.01, opened(7), data(7, proto.Hello{Version: 1, Role: proto.RolePeer, Name: "c1", Zone: "b"}, proto.PeerNote{From: 1, Data: "\xff\x00!"}))
+	if r.closed[7] || r.m.sessions[7].role != peerRole {
+		t.Fatal("a peer was not taken")
+	}
+	r.step(0.01, gone(c))
+	if len(r.m.peers) != 0 {
+		t.Fatal("a peer that is gone is kept")
+	}
+}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"gingerfork/internal/machine"
 )
@@ -29,13 +30,15 @@
 	door int
 	ends [2]machine.Conn
 	open bool
-	wait [][]byte           // of the dialler, until the target is reached
-	held []piece            // while the door is cut
+	wait [][]byte // of the dialler, until the target is reached
+	held []piece  // while the door is cut
+	n    int
 	free [2]machine.Seconds // when the next bytes of that way may leave
 }
 
 // piece is bytes of one way, or the end of a pipe.
 type piece struct {
+	n    int // its place among the pipe's
 	from int
 	data []byte
 	end  bool
@@ -96,9 +99,13 @@
 
 // pass sends a piece on, as late as the door makes it, and never before what came earlier.
 func (r *Relay) pass(now machine.Seconds, p *pipe, x piece) {
+	if x.n == 0 {
+		p.n++
+		x.n = p.n
+	}
 	h := r.hinder[p.door]
 	if h.cut || len(p.held) > 0 {
-		p.held = append(p.held, x)
+		p.hold(x)
 		return
 	}
 	at := max(now+h.delay, p.free[x.from])
@@ -111,14 +118,23 @@
 		return
 	}
 	r.timers.at(at, func(machine.Seconds) {
-		if r.hinder[p.door].cut {
-			p.held = append(p.held, x)
+		if r.hinder[p.door].cut || len(p.held) > 0 {
+			p.hold(x)
 			return
 		}
 		r.deliver(p, x)
 	})
 }
 
+// hold keeps a piece for later. What was under way when a cut began was sent before what came during it.
+func (p *pipe) hold(x piece) {
+	at := len(p.held)
+	for at > 0 && p.held[at-1].n > x.n {
+		at--
+	}
+	p.held = slices.Insert(p.held, at, x)
+}
+
 func (r *Relay) deliver(p *pipe, x piece) {
 	to := p.ends[1-x.from]
 	if r.pairs[to] != p {
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,341 @@
+package standin
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+	"gingerfork/internal/trace"
+	"gingerfork/internal/virtual"
+)
+
+// herald welcomes proxies and pushes them one table.
+type herald struct {
+	ops     []proto.Op
+	readers map[machine.Conn]*proto.Reader
+	answers int
+	hellos  int
+	deaf    bool // says nothing more after the push
+}
+
+func (h *herald) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
+	for _, i := range in {
+		if i.Kind == machine.Opened {
+			h.readers[i.Conn] = &proto.Reader{}
+		}
+		r := h.readers[i.Conn]
+		if i.Kind != machine.Data || r == nil {
+			continue
+		}
+		r.Feed(i.Data)
+		for m, err := r.Next(); m != nil && err == nil; m, err = r.Next() {
+			switch m.(type) {
+			case proto.Hello:
+				h.hellos++
+				r.Open()
+				b := proto.Append(nil, proto.Welcome{Version: 1, Name: "c0", Period: 1})
+				out.Write(i.Conn, proto.Append(b, proto.Push{Seq: 1, Marked: true, Mark: 7, Ops: h.ops}))
+			case proto.Answer:
+				h.answers++
+			case proto.Sums:
+				if !h.deaf {
+					out.Write(i.Conn, proto.Append(nil, proto.Heard{}))
+				}
+			}
+		}
+	}
+}
+
+// play runs a front end under one table with servers, and counts tries by server and ends by kind.
+func play(t *testing.T, span float64, trade FrontTrade, h *herald, servers ...ServerTrade) (tries map[uint32]int, ends map[string]int, all []trace.Record) {
+	t.Helper()
+	w := virtual.New(1, 1e6, 0.0003, 0.0006)
+	tries, ends = map[uint32]int{}, map[string]int{}
+	w.Trace = func(r trace.Record) {
+		all = append(all, r)
+		switch r.Kind {
+		case trace.Try:
+			tries[r.EP]++
+		case trace.End:
+			ends[r.Text]++
+		}
+	}
+	h.readers = map[machine.Conn]*proto.Reader{}
+	w.Add("c0", "a", func(machine.Seconds, map[string][]byte) machine.Machine { return h }, "c0")
+	w.Start("c0")
+	for _, s := range servers {
+		name := fmt.Sprint("s", s.EP)
+		w.Add(name, "a", func(machine.Seconds, map[string][]byte) machine.Machine { return NewServer(s) }, name)
+		w.Start(name)
+	}
+	trade.Name, trade.Zone, trade.Coordinators, trade.Period, trade.ConnectTimeout, trade.Seed = "f0", "a", []string{"c0"}, 1, 0.2, 3
+	if trade.Methods == nil {
+		trade.Methods = []MethodTrade{{Name: "m", Criticality: 1, SoftDeadline: 0.5, Deadline: 2, Share: 1}}
+	}
+	w.Add("f0", "a", func(machine.Seconds, map[string][]byte) machine.Machine { return NewFrontEnd(trade) })
+	w.Start("f0")
+	w.Run(1e6 + span)
+	return tries, ends, all
+}
+
+func bind(level *proto.Level, weights ...float64) *herald {
+	o := proto.Op{Kind: proto.OpBind}
+	for i, w := range weights {
+		o.Lines = append(o.Lines, proto.Line{EP: proto.EP(i + 1), Weight: w, Addr: fmt.Sprint("s", i+1)})
+	}
+	if level != nil {
+		o.Levels = []proto.Level{*level}
+	}
+	return &herald{ops: []proto.Op{o}}
+}
+
+func quick(ep proto.EP) ServerTrade {
+	return ServerTrade{EP: ep, Capacity: 5000, Workers: 50, QueueMost: 100, Seed: uint64(ep)}
+}
+
+func TestPicks(t *testing.T) {
+	for pick, most := range map[string]float64{"lottery": 0.03, "even": 0.002} {
+		tries, ends, _ := play(t, 40, FrontTrade{Rate: 100, Pick: pick}, bind(nil, 1, 2, 5), quick(1), quick(2), quick(3))
+		sum := float64(tries[1] + tries[2] + tries[3])
+		for i, want := range []float64{1.0 / 8, 2.0 / 8, 5.0 / 8} {
+			if got := float64(tries[uint32(i+1)]) / sum; math.Abs(got-want) > most {
+				t.Errorf("%s: server %d has %.3f of the tries, %.3f by weight", pick, i+1, got, want)
+			}
+		}
+		if ends["ok"] < 3000 || ends["aborted"] > 0 {
+			t.Error(pick, ends)
+		}
+	}
+	// Of two drawn, the one with fewer RPCs under way: one that is slow gets less than its weight.
+	slow := ServerTrade{EP: 1, Capacity: 30, Workers: 20, QueueMost: 100, Seed: 9}
+	tries, _, _ := play(t, 40, FrontTrade{Rate: 60, Pick: "pair"}, bind(nil, 1, 1), slow, quick(2))
+	if part := float64(tries[1]) / float64(tries[1]+tries[2]); part > 0.35 || part < 0.02 {
+		t.Errorf("pair: the slow server has %.2f of the tries", part)
+	}
+}
+
+func TestTriesAsOrdered(t *testing.T) {
+	full := ServerTrade{EP: 1, Capacity: 1, Workers: 0, QueueMost: 0, Seed: 1}        // pushes all back: proof
+	hangs := ServerTrade{EP: 1, Capacity: 0.001, Workers: 100, QueueMost: 9, Seed: 1} // takes it and does not answer
+	for name, c := range map[string]struct {
+		first ServerTrade
+		tries uint64
+		again bool
+	}{
+		"once, after proof": {full, 0, false}, "proven, after proof": {full, 1, true}, "proven, without": {hangs, 1, false}, "again, without": {hangs, 2, true},
+	} {
+		_, ends, all := play(t, 20, FrontTrade{Rate: 10, Pick: "lottery", TryWait: 0.8}, bind(&proto.Level{Level: 1, Tries: c.tries}, 1, 1), c.first, quick(2))
+		again := 0
+		for _, r := range all {
+			if r.Kind == trace.Try && r.N == 2 {
+				again++
+			}
+			if r.Kind == trace.Try && r.N > 2 {
+				t.Fatalf("%s: a third try", name)
+			}
+		}
+		if (again > 0) != c.again || c.again == (ends["aborted"]+ends["pushed back"] > 0) {
+			t.Errorf("%s: %d tried again, %v", name, again, ends)
+		}
+	}
+}
+
+func TestLevelsStrikesAndSilence(t *testing.T) {
+	_, ends, _ := play(t, 40, FrontTrade{Rate: 100, Pick: "even"}, bind(&proto.Level{Level: 0.25}, 1), quick(1))
+	if part := float64(ends["ok"]) / float64(ends["ok"]+ends["pushed back"]); math.Abs(part-0.25) > 0.03 {
+		t.Errorf("a level of a quarter lets in %.3f", part)
+	}
+	_, ends, _ = play(t, 40, FrontTrade{Rate: 100, Pick: "even", LevelRate: true}, bind(&proto.Level{Level: 20}, 1), quick(1))
+	if n := ends["ok"]; n < 700 || n > 900 {
+		t.Errorf("a level of 20 a second let in %d in 40 s", n)
+	}
+	full := ServerTrade{EP: 1, Capacity: 1, Workers: 0, QueueMost: 0, Seed: 1}
+	without, _, _ := play(t, 30, FrontTrade{Rate: 50, Pick: "lottery"}, bind(nil, 1, 1), full, quick(2))
+	with, _, _ := play(t, 30, FrontTrade{Rate: 50, Pick: "lottery", Strikes: 3, KeepAway: 5}, bind(nil, 1, 1), full, quick(2))
+	if with[1]*5 > without[1] || with[1] < 6 {
+		t.Errorf("with strikes %d tries at a server that pushes all back, %d without", with[1], without[1])
+	}
+	h := bind(nil, 1)
+	h.deaf = true
+	if play(t, 30, FrontTrade{Rate: 1, Pick: "even"}, h, quick(1)); h.hellos < 4 || h.answers != h.hellos {
+		t.Errorf("%d hellos and %d answers to a coordinator that falls silent", h.hellos, h.answers)
+	}
+}
+
+func TestColdServerFallsOver(t *testing.T) {
+	for _, c := range []struct {
+		rate  float64
+		falls bool
+	}{{20, false}, {60, true}} {
+		cold := ServerTrade{EP: 1, Capacity: 60, Workers: 10, QueueMost: 200, Cold: true, ColdShare: 0.25, WarmAfter: 20, FallMultiple: 2.5, FallWindow: 1, Seed: 4}
+		_, ends, all := play(t, 10, FrontTrade{Rate: c.rate, Pick: "even"}, bind(nil, 1), cold)
+		fell := 0
+		for _, r := range all {
+			if r.Kind == trace.Fall {
+				fell++
+			}
+		}
+		if (fell == 1) != c.falls || fell > 1 || c.falls && ends["ok"] > 100 {
+			t.Errorf("at %v RPCs a second, %d falls, %v", c.rate, fell, ends)
+		}
+		warm := cold
+		warm.Cold = false
+		if _, ends, _ = play(t, 10, FrontTrade{Rate: c.rate, Pick: "even"}, bind(nil, 1), warm); ends["aborted"] > 0 {
+			t.Errorf("a warm one fell at %v: %v", c.rate, ends)
+		}
+	}
+}
+
+// Repeats of a token run once, wherever they come.
+func TestStoreDropsRepeats(t *testing.T) {
+	store := &Store{Window: 5}
+	hangs := ServerTrade{EP: 1, Capacity: 2, Workers: 50, QueueMost: 100, Seed: 1, Store: store}
+	other := quick(2)
+	other.Store = store
+	methods := []MethodTrade{{Name: "save", Effect: Tokened, Criticality: 1, SoftDeadline: 0.3, Deadline: 2, Share: 1}}
+	_, _, all := play(t, 20, FrontTrade{Rate: 20, Pick: "lottery", TryWait: 0.8, Methods: methods}, bind(&proto.Level{Level: 1, Tries: 2}, 1, 1), hangs, other)
+	runs, again := map[uint64]int{}, 0
+	for _, r := range all {
+		if r.Kind == trace.Run {
+			runs[r.RPC]++
+		}
+		if r.Kind == trace.Try && r.N == 2 {
+			again++
+		}
+	}
+	for rpc, n := range runs {
+		if n > 1 {
+			t.Fatalf("RPC %d ran %d times", rpc, n)
+		}
+	}
+	if again < 20 {
+		t.Fatalf("only %d repeats: the test lost its cause", again)
+	}
+}
+
+// The list service tells what changed since a version, all where it can't, and nothing twice.
+func TestListAnswers(t *testing.T) {
+	l := NewList([]Listing{{EP: 1, State: proto.ServerOpen, Addr: "s1", Stamp: 1}, {EP: 2, State: proto.ServerOpen, Addr: "s2", Stamp: 1}})
+	var got []proto.List
+	var r proto.Reader
+	r.Open()
+	now := 10.0
+	step := func(in ...machine.Input) []proto.List {
+		now += 0.01
+		var out machine.Out
+		out.Reset()
+		l.Step(now, in, &out)
+		got = nil
+		for _, a := range out.Acts {
+			r.Feed(a.Data)
+			for m, _ := r.Next(); m != nil; m, _ = r.Next() {
+				if x, ok := m.(proto.List); ok && (x.Kind != proto.ListChanges || len(x.Entries) > 0) {
+					got = append(got, x)
+				}
+			}
+		}
+		return got
+	}
+	say := func(text string) machine.Input { return machine.Input{Kind: machine.Told, Text: text} }
+	ask := func(since uint64) machine.Input {
+		return machine.Input{Kind: machine.Data, Conn: 1, Data: proto.Append(nil, proto.Watch{On: true, Since: since})}
+	}
+	step(machine.Input{Kind: machine.Opened, Conn: 1}, machine.Input{Kind: machine.Data, Conn: 1, Data: proto.Append(nil, proto.Hello{Version: 1, Role: proto.RoleWatcher, Name: "c0"})})
+	if all := step(ask(0)); len(all) != 1 || all[0].Kind != proto.ListFull || len(all[0].Entries) != 2 {
+		t.Fatal(all)
+	}
+	if all := step(say("state 1 draining")); len(all) != 1 || all[0].Kind != proto.ListChanges || all[0].Base != 1 || all[0].Version != 2 || all[0].Entries[0].State != proto.ServerDraining {
+		t.Fatal(all)
+	}
+	if all := step(say("stale on"), say("state 1 gone"), say("restart 1")); len(all) != 0 {
+		t.Fatal("told while stale:", all)
+	}
+	if all := step(say("stale off")); len(all) != 1 || len(all[0].Entries) != 1 || all[0].Entries[0].State != proto.ServerOpen || all[0].Entries[0].Old || all[0].Entries[0].Stamp != 2 {
+		t.Fatal("not the last state of each, once:", all)
+	}
+	if all := step(ask(2)); len(all) != 1 || all[0].Base != 2 || all[0].Version != 4 {
+		t.Fatal(all)
+	}
+	if all := step(ask(9)); len(all) != 1 || all[0].Kind != proto.ListFull {
+		t.Fatal("a version it never had:", all)
+	}
+	if all := step(say("show none")); len(all) != 1 || all[0].Kind != proto.ListFull || len(all[0].Entries) != 0 {
+		t.Fatal(all)
+	}
+	if all := step(say("show all")); len(all) != 1 || len(all[0].Entries) != 2 {
+		t.Fatal(all)
+	}
+	if all := step(say("fail on")); len(all) != 0 || len(l.watchers) != 0 {
+		t.Fatal(all)
+	}
+}
+
+// A relay keeps the order, holds what a cut stops, and is late when told.
+func TestRelay(t *testing.T) {
+	r := NewRelay("there")
+	now := 10.0
+	var wrote []string
+	var to machine.Conn
+	out := machine.Out{}
+	step := func(at float64, in ...machine.Input) {
+		now = at
+		out.Reset()
+		r.Step(now, in, &out)
+		for _, a := range out.Acts {
+			switch a.Kind {
+			case machine.Dial:
+				to = a.Conn
+			case machine.Write:
+				wrote = append(wrote, string(a.Data))
+			case machine.Close:
+				wrote = append(wrote, "end")
+			}
+		}
+	}
+	send := func(text string) machine.Input { return machine.Input{Kind: machine.Data, Conn: 1, Data: []byte(text)} }
+	word := func(text string) machine.Input { return machine.Input{Kind: machine.Told, Text: text} }
+	step(10, machine.Input{Kind: machine.Opened, Conn: 1}, send("a"))
+	step(11, machine.Input{Kind: machine.Opened, Conn: to}, send("b"))
+	step(12, word("set 0 0 0 2 0"), send("c"))
+	step(13, word("set 0 1 0 0 0"), send("d"))
+	step(20, send("e"), machine.Input{Kind: machine.Closed, Conn: 1})
+	if got := strings.Join(wrote, " "); got != "a b" {
+		t.Fatalf("through a cut went %q", got)
+	}
+	step(21, word("set 0 0 0 0 0"))
+	step(30)
+	if got := strings.Join(wrote, " "); got != "a b c d e end" {
+		t.Fatalf("after the cut went %q", got)
+	}
+}
+
+// A crowd's members are stepped when something is theirs, and keep to themselves.
+func TestCrowd(t *testing.T) {
+	c := NewCrowd()
+	for i := range 3 {
+		c.Add(fmt.Sprint("s", i), NewServer(quick(proto.EP(i+1))), 1)
+	}
+	var out machine.Out
+	out.Reset()
+	hello := proto.Append(nil, proto.Hello{Version: 1, Role: proto.RoleCaller, Name: "x"})
+	c.Step(1, []machine.Input{{Kind: machine.Opened, Conn: 5, Door: 2}, {Kind: machine.Opened, Conn: 6, Door: 0}, {Kind: machine.Data, Conn: 5, Data: hello},
+		{Kind: machine.Told, Text: "s0 drain"}, {Kind: machine.Data, Conn: 6, Data: proto.Append(hello, proto.RPC{ID: 1, Left: 1})}}, &out)
+	var names []string
+	for _, a := range out.Acts {
+		var r proto.Reader
+		r.Open()
+		r.Feed(a.Data)
+		for m, _ := r.Next(); m != nil; m, _ = r.Next() {
+			names = append(names, fmt.Sprint(a.Conn, m))
+		}
+	}
+	if got := strings.Join(names, "; "); !strings.Contains(got, "5 {1 3 0 []}") || !strings.Contains(got, "6 {1 1 0 []}") || !strings.Contains(got, "6 {1 pushed back}") {
+		t.Fatal(got)
+	}
+	if c.members[1].wake < machine.Never && c.members[1].next != 0 {
+		t.Fatal("a member that nothing came for was opened")
+	}
+}
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -83,13 +83,15 @@
 	id    machine.Conn
 	other *end
 	free  machine.Seconds // when what this end sends next may arrive: bytes keep their order
-	held  []piece         // sent while the link was cut
+	held  []piece         // sent while the link was cut, or under way then
+	n     int
 	open  bool
 	gone  bool
 	lost  bool // its process died while the link was cut: the other side was not told
 }
 
 type piece struct {
+	n     int // its place among what the end sent
 	data  []byte
 	close bool
 	why   string
@@ -480,8 +482,12 @@
 	if o.gone || !o.node.up || o.life != o.node.life {
 		return
 	}
+	if p.n == 0 {
+		e.n++
+		p.n = e.n
+	}
 	if h.Cut || len(e.held) > 0 {
-		e.held = append(e.held, p)
+		e.hold(p)
 		return
 	}
 	at := w.now + w.latency(e.node, o.node) + h.Delay
@@ -492,13 +498,22 @@
 	w.At(e.free, func() { w.arrive(e, p) })
 }
 
+// hold keeps a piece until a cut heals: what was under way when it began comes before what was sent during it.
+func (e *end) hold(p piece) {
+	at := len(e.held)
+	for at > 0 && e.held[at-1].n > p.n {
+		at--
+	}
+	e.held = slices.Insert(e.held, at, p)
+}
+
 func (w *World) arrive(e *end, p piece) {
 	o := e.other
 	if o.gone || !o.node.up || o.life != o.node.life {
 		return
 	}
-	if w.between(e.node, o.node).Cut {
-		e.held = append(e.held, p)
+	if w.between(e.node, o.node).Cut || len(e.held) > 0 {
+		e.hold(p)
 		return
 	}
 	if p.close {
--- /dev/null
+++ b/internal/virtual/virtual_test.go
@@ -0,0 +1,152 @@
+package virtual
+
+import (
+	"strings"
+	"testing"
+
+	"gingerfork/internal/machine"
+)
+
+// party dials whom it is told to, writes what it is told, and keeps what it hears.
+type party struct {
+	conn   machine.Conn
+	heard  strings.Builder
+	events []string
+	spins  bool
+}
+
+func (p *party) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
+	for _, i := range in {
+		switch i.Kind {
+		case machine.Told:
+			word, rest, _ := strings.Cut(i.Text, " ")
+			switch word {
+			case "dial":
+				p.conn = machine.Dialled + 1
+				out.Dial(p.conn, rest)
+			case "say":
+				out.Write(p.conn, []byte(rest))
+			case "close":
+				out.Close(p.conn)
+			case "spin":
+				p.spins = true
+			}
+		case machine.Opened:
+			p.conn = i.Conn
+			p.events = append(p.events, "opened")
+		case machine.Closed:
+			p.events = append(p.events, i.Text)
+		case machine.Data:
+			p.heard.Write(i.Data)
+		}
+	}
+	if p.spins {
+		out.At(now)
+	}
+}
+
+func pair(t *testing.T) (w *World, a, b *party) {
+	t.Helper()
+	w = New(1, 100, 0.001, 0.01)
+	a, b = &party{}, &party{}
+	w.Add("a", "x", func(machine.Seconds, map[string][]byte) machine.Machine { return a })
+	w.Add("b", "y", func(machine.Seconds, map[string][]byte) machine.Machine { *b = party{}; return b }, "door")
+	w.Start("a")
+	w.Start("b")
+	w.Tell("a", "dial door")
+	w.Run(101)
+	return w, a, b
+}
+
+func both(string, string) bool { return true }
+
+// What was under way when a cut began comes before what was sent during it, and all comes when it heals.
+func TestCutsKeepTheOrder(t *testing.T) {
+	w, _, b := pair(t)
+	w.Hinder("late", Hindrance{Delay: 2}, both)
+	w.Tell("a", "say 1")
+	w.Run(102)
+	w.Hinder("cut", Hindrance{Cut: true}, both)
+	w.Tell("a", "say 2")
+	w.Run(110)
+	if b.heard.Len() != 0 {
+		t.Fatal(b.heard.String())
+	}
+	w.Clear("late")
+	w.Clear("cut")
+	w.Tell("a", "say 3")
+	w.Run(111)
+	if b.heard.String() != "123" {
+		t.Fatal(b.heard.String())
+	}
+}
+
+func TestEnds(t *testing.T) {
+	w, a, b := pair(t)
+	w.Tell("a", "say "+strings.Repeat("x", 1000))
+	w.Run(101.0001)
+	w.Kill("a") // in the middle of what it sent
+	w.Run(102)
+	if n := b.heard.Len(); n == 0 && len(b.events) != 2 || n == 1000 || b.events[len(b.events)-1] != "reset by the other side" {
+		t.Fatal(n, b.events)
+	}
+	w, a, b = pair(t)
+	w.Tell("a", "say bye")
+	w.Tell("a", "close")
+	w.Run(102)
+	if b.heard.String() != "bye" || b.events[len(b.events)-1] != "closed by the other side" || len(a.events) != 1 {
+		t.Fatal(b.heard.String(), b.events, a.events)
+	}
+	w, a, _ = pair(t)
+	w.Reset(both)
+	w.Run(102)
+	if a.events[len(a.events)-1] != "reset by the other side" {
+		t.Fatal(a.events)
+	}
+	w.Kill("b")
+	w.Tell("a", "dial door")
+	w.Run(103)
+	if a.events[len(a.events)-1] != "refused" {
+		t.Fatal(a.events)
+	}
+	w.Start("b")
+	w.Hinder("cut", Hindrance{Cut: true}, both)
+	w.Tell("a", "dial door")
+	w.Run(110)
+	if a.events[len(a.events)-1] != "no answer" {
+		t.Fatal(a.events)
+	}
+	// A process that dies behind a cut is not heard of; who writes to it after the cut is told.
+	w, a, _ = pair(t)
+	w.Hinder("cut", Hindrance{Cut: true}, both)
+	w.Kill("b")
+	w.Run(105)
+	if len(a.events) != 1 {
+		t.Fatal(a.events)
+	}
+	w.Clear("cut")
+	w.Tell("a", "say x")
+	w.Run(106)
+	if a.events[len(a.events)-1] != "reset by the other side" {
+		t.Fatal(a.events)
+	}
+}
+
+func TestStallsAndSpins(t *testing.T) {
+	w, _, b := pair(t)
+	w.Stall("b", 3)
+	w.Tell("a", "say x")
+	w.Run(103.5)
+	if b.heard.Len() != 0 {
+		t.Fatal("a process that does not run heard something")
+	}
+	w.Run(105)
+	if b.heard.String() != "x" {
+		t.Fatal(b.heard.String())
+	}
+	w.Tell("b", "spin")
+	w.Run(106)
+	if len(w.Fails) != 1 || !strings.Contains(w.Fails[0], "b: it spins") || w.Up("b") {
+		t.Fatal(w.Fails)
+	}
+}
