--- a/cmd/gingerfork/standin.go
+++ b/cmd/gingerfork/standin.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/emulator"
 	"gingerfork/internal/loop"
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
@@ -65,13 +66,18 @@
 	Capacity float64 `help:"RPCs a second when warm." default:"30"`
 	Workers  int     `help:"RPCs that run at once." default:"2"`
 	Queue    int     `help:"RPCs that may wait." default:"30"`
+	Work     string  `help:"How RPCs' work is distributed: exponential, fixed, lognormal:CV or pareto:EXPONENT." default:"exponential"`
 	Cold     bool    `help:"It starts cold."`
 	Settings string  `help:"The fleet's settings, for how cold servers warm and fall." placeholder:"FILE"`
 }
 
 func (c serverCmd) Run(p *program, ctx context.Context) error {
-	t := standin.ServerTrade{EP: c.EP, Capacity: c.Capacity, Workers: c.Workers, QueueMost: c.Queue, Cold: c.Cold, Seed: c.Seed,
-		Store: &standin.Store{}}
+	work, err := emulator.ParseWork(c.Work, float64(c.Workers)/c.Capacity)
+	if err != nil {
+		return err
+	}
+	t := emulator.Trade{EP: c.EP, Cores: c.Workers, Speed: 1, Work: []emulator.Work{work}, QueueMost: c.Queue, GiveUp: emulator.SkipsWait,
+		Cold: c.Cold, ProbeWork: work.Mean / 10, ConnWork: work.Mean / 10, Seed: c.Seed, Store: &emulator.Store{}}
 	if c.Settings != "" {
 		s, err := bootstrap.Read(c.Settings)
 		if err != nil {
@@ -81,7 +87,7 @@
 		t.ColdShare, t.WarmAfter = b.Num("cold_share", 1), b.Num("warm_after", 0)
 		t.FallMultiple, t.FallWindow = b.Num("fall_multiple", 0), b.Num("fall_window", 0)
 	}
-	return c.run(p, ctx, fmt.Sprint("server-", c.EP), standin.NewServer(t), c.Listen)
+	return c.run(p, ctx, fmt.Sprint("server-", c.EP), emulator.NewServer(t), c.Listen)
 }
 
 type listCmd struct {
--- /dev/null
+++ b/internal/emulator/model.go
@@ -0,0 +1,537 @@
+package emulator
+
+import (
+	"container/heap"
+	"math"
+	"slices"
+)
+
+// Status is how a try ends at the server.
+type Status uint8
+
+const (
+	OK         Status = iota
+	PushedBack        // it never ran
+	Aborted           // it may have run
+)
+
+// GiveUp tells what a server does with work whose client has given up, at its deadline or by closing the connection.
+type GiveUp uint8
+
+const (
+	RunsOn    GiveUp = iota // it neither knows nor cares
+	SkipsWait               // what still waits is dropped when its turn comes
+	Stops                   // what waits is dropped at once, what runs is stopped
+)
+
+// Caller is a connection, by the number that whoever drives the model gives it.
+type Caller uint64
+
+// RPC is one try as it reaches the server.
+type RPC struct {
+	ID     uint64
+	Method int
+	Token  uint64 // 0: none
+	Key    uint64 // 0: none
+	Left   Seconds
+}
+
+// Trade says what a server is.
+type Trade struct {
+	EP           uint32
+	Zone         string
+	Cell         int
+	Cores        int
+	Speed        float64 // of a core: seconds of work a second
+	Work         []Work  // by method; the last serves for all beyond
+	QueueMost    int     // RPCs that may wait for a core
+	GiveUp       GiveUp
+	Cold         bool // its process starts now, else long ago
+	ColdShare    float64
+	WarmAfter    Seconds
+	FallMultiple float64
+	FallWindow   Seconds // 0: it never falls
+	Connections  int     // 0: any number
+	ConnWork     Seconds // that a new connection costs
+	ProbeWork    Seconds
+	ProbesMost   int // at once; 0: any number
+	Keys         int // that it remembers; 0: none
+	KeySaves     float64
+	Seed         uint64
+	Store        *Store
+	Ledger       *Ledger
+}
+
+// Capacity is the RPCs a second that it carries when warm, for a mix of methods.
+func (t Trade) Capacity(mix []float64) float64 {
+	mean, sum := 0.0, 0.0
+	for m, share := range mix {
+		mean += share * t.work(m).Mean
+		sum += share
+	}
+	return float64(t.Cores) * t.Speed * sum / mean
+}
+
+func (t Trade) work(m int) Work { return t.Work[min(m, len(t.Work)-1)] }
+
+// Effect is one thing that the model did, for whoever drives it to carry out or record.
+type Effect any
+
+type (
+	// Reply ends a try.
+	Reply struct {
+		To     Caller
+		ID     uint64
+		Status Status
+	}
+	// Ran: an RPC's effect began to take place.
+	Ran struct{ RPC RPC }
+	// Probed answers a probe.
+	Probed struct {
+		To     Caller
+		ID     uint64
+		Status Status
+	}
+	// Near: while cold it was brought so much of what topples it, more than ever before.
+	Near struct {
+		Part float64
+		RPCs int
+	}
+	// Fell: it was brought too much while cold; it is down for good.
+	Fell struct{}
+	// Shut closes a connection without a word.
+	Shut struct{ To Caller }
+)
+
+// Model is one server.
+type Model struct {
+	t       Trade
+	start   Seconds
+	now     Seconds
+	dice    Dice
+	callers map[Caller]*caller
+	queue   []*job
+	running []*job // in the order in which they began
+	timers  timers
+	count   uint64    // of timers, so that equal times keep their order
+	arrived []arrival // within the window, while cold
+	brought float64
+	worst   float64
+	probes  int
+	memory  memory
+	out     []Effect
+
+	fallen   bool
+	draining bool
+	hung     int // reasons why nothing proceeds
+	slow     float64
+	fast     bool
+	part     float64
+	method   int
+	from     string
+	dear     float64
+	shake    Seconds
+	most     int // connections, by a trouble; 0: as the trade says
+}
+
+type arrival struct {
+	at   Seconds
+	work Seconds
+}
+
+type caller struct {
+	of      string // the coordinator whose orders its RPCs follow
+	shaking bool
+	waiting []RPC
+}
+
+type job struct {
+	from  Caller
+	rpc   RPC
+	end   Seconds // when its client gives up
+	left  Seconds // work still to do
+	began Seconds
+	since Seconds // left is as of then
+	probe bool
+	life  int // counts its timers
+	gone  bool
+}
+
+// New makes a server whose process starts now.
+func New(t Trade, now Seconds) *Model {
+	m := &Model{t: t, start: now, now: now, dice: NewDice(t.Seed), callers: map[Caller]*caller{}, slow: 1, method: -1}
+	if !t.Cold {
+		m.start = now - t.WarmAfter
+	}
+	m.memory.most = t.Keys
+	return m
+}
+
+// Warmth is the share of its speed that it has: it grows evenly from the cold share.
+func (m *Model) Warmth(now Seconds) float64 {
+	if age := now - m.start; age < m.t.WarmAfter {
+		return m.t.ColdShare + (1-m.t.ColdShare)*max(age, 0)/m.t.WarmAfter
+	}
+	return 1
+}
+
+// Fallen tells whether it is down for good.
+func (m *Model) Fallen() bool { return m.fallen }
+
+// done is the work that a core does from a time to another, if nothing hinders it.
+func (m *Model) done(from, to Seconds) Seconds {
+	warm := m.start + m.t.WarmAfter
+	sum := 0.0
+	if from < warm {
+		until := min(to, warm)
+		sum = (m.Warmth(from) + m.Warmth(math.Nextafter(until, from))) / 2 * (until - from)
+		from = until
+	}
+	if to > from {
+		sum += to - from
+	}
+	return sum * m.t.Speed / m.slow
+}
+
+// finish is when a core that begins at a time has done some work: the warming makes it a quadratic.
+func (m *Model) finish(from, work Seconds) Seconds {
+	warm := m.start + m.t.WarmAfter
+	need := work * m.slow / m.t.Speed
+	if from < warm {
+		w, slope := m.Warmth(from), (1-m.t.ColdShare)/m.t.WarmAfter
+		var takes float64
+		if slope < 1e-12 {
+			takes = need / w
+		} else {
+			takes = (-w + math.Sqrt(w*w+2*slope*need)) / slope
+		}
+		if from+takes <= warm {
+			return from + takes
+		}
+		need -= (w + 1) / 2 * (warm - from)
+		return warm + need
+	}
+	return from + need
+}
+
+// Advance brings the model to a time and gives what happened on the way. Wake tells when that must be at the latest.
+func (m *Model) Advance(now Seconds) []Effect {
+	for len(m.timers) > 0 && m.timers[0].at <= now {
+		t := heap.Pop(&m.timers).(timer)
+		m.now = max(m.now, t.at)
+		t.do()
+	}
+	m.now = now
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// Wake is when the next thing happens by itself; +Inf: nothing will.
+func (m *Model) Wake() Seconds {
+	if len(m.timers) == 0 {
+		return math.Inf(1)
+	}
+	return m.timers[0].at
+}
+
+func (m *Model) at(at Seconds, do func()) {
+	m.count++
+	heap.Push(&m.timers, timer{max(at, m.now), m.count, do})
+}
+
+func (m *Model) tell(e Effect) { m.out = append(m.out, e) }
+
+// Connect opens a connection; it is told whose orders its RPCs follow. It may be shut at once.
+func (m *Model) Connect(c Caller, of string) {
+	most := m.t.Connections
+	if m.most > 0 {
+		most = m.most
+	}
+	if m.fallen || most > 0 && len(m.callers) >= most {
+		m.tell(Shut{c})
+		return
+	}
+	x := &caller{of: of, shaking: m.shake > 0}
+	m.callers[c] = x
+	if m.t.ConnWork > 0 {
+		m.burden(m.t.ConnWork)
+	}
+	if x.shaking {
+		m.at(m.now+m.shake, func() {
+			x.shaking = false
+			for _, r := range x.waiting {
+				m.Ask(c, r)
+			}
+			x.waiting = nil
+		})
+	}
+}
+
+// Follow tells whose orders a connection's RPCs follow from now on.
+func (m *Model) Follow(c Caller, of string) {
+	if x := m.callers[c]; x != nil {
+		x.of = of
+	}
+}
+
+// Disconnect ends a connection: its clients have given up.
+func (m *Model) Disconnect(c Caller) {
+	delete(m.callers, c)
+	if m.t.GiveUp == RunsOn {
+		return
+	}
+	for _, j := range m.queue {
+		j.gone = j.gone || j.from == c
+	}
+	if m.t.GiveUp == Stops {
+		m.stop(func(j *job) bool { return j.from == c })
+	}
+}
+
+// stop takes running work off its cores.
+func (m *Model) stop(which func(*job) bool) {
+	kept := m.running[:0]
+	for _, j := range m.running {
+		if which(j) && !j.probe {
+			j.life++
+			continue
+		}
+		kept = append(kept, j)
+	}
+	clear(m.running[len(kept):])
+	m.running = kept
+	m.dispatch()
+}
+
+// burden is work that nobody waits for.
+func (m *Model) burden(work Seconds) {
+	m.queue = append(m.queue, &job{left: work, probe: true, end: math.Inf(1)})
+	m.dispatch()
+}
+
+// topple counts what is brought to a cold server, and tells whether it was too much: more than a multiple of what it can
+// do at present, over the window, and a little more for chance.
+func (m *Model) topple(work Seconds) bool {
+	t := m.t
+	if t.FallWindow <= 0 || m.Warmth(m.now) >= 1 {
+		return false
+	}
+	m.arrived = append(m.arrived, arrival{m.now, work})
+	m.brought += work
+	for m.arrived[0].at < m.now-t.FallWindow {
+		m.brought -= m.arrived[0].work
+		m.arrived = m.arrived[1:]
+	}
+	mean := t.work(0).Mean
+	bound := t.FallMultiple*m.Warmth(m.now)*t.Speed*float64(t.Cores)/m.slow*t.FallWindow + 2*mean
+	if part := m.brought / bound; part > m.worst+0.05 {
+		m.worst = part
+		m.tell(Near{part, len(m.arrived)})
+	}
+	return m.brought > bound
+}
+
+// Ask brings a try.
+func (m *Model) Ask(c Caller, r RPC) {
+	x := m.callers[c]
+	if x == nil || m.fallen {
+		return
+	}
+	if x.shaking {
+		x.waiting = append(x.waiting, r)
+		return
+	}
+	work := m.t.work(r.Method).Draw(&m.dice)
+	if m.dear > 0 && m.dice.Draw() < 0.1 {
+		work *= m.dear
+	}
+	if m.topple(work) {
+		m.fall()
+		return
+	}
+	switch {
+	case m.hung > 0 && len(m.queue) >= m.t.QueueMost:
+		// It hangs and does not even push back.
+	case m.fast, m.method == r.Method, m.from != "" && m.from == x.of, m.part > 0 && m.dice.Draw() < m.part:
+		m.at(m.now+0.002, func() { m.answer(c, r.ID, Aborted) })
+	case m.draining, len(m.queue) >= m.t.QueueMost && len(m.running) >= m.t.Cores:
+		m.answer(c, r.ID, PushedBack)
+	default:
+		if m.t.Keys > 0 && r.Key != 0 && m.memory.seen(r.Key) {
+			work *= 1 - m.t.KeySaves
+		}
+		j := &job{from: c, rpc: r, end: m.now + r.Left, left: work}
+		m.queue = append(m.queue, j)
+		if m.t.GiveUp == Stops {
+			m.at(j.end, func() {
+				j.gone = true
+				m.stop(func(x *job) bool { return x == j })
+			})
+		}
+		m.dispatch()
+	}
+}
+
+func (m *Model) answer(c Caller, id uint64, s Status) {
+	if m.callers[c] != nil {
+		m.tell(Reply{c, id, s})
+	}
+}
+
+func (m *Model) fall() {
+	m.fallen = true
+	m.tell(Fell{})
+	m.queue, m.running, m.timers = nil, nil, nil
+	clear(m.callers)
+}
+
+// dispatch gives waiting work to free cores.
+func (m *Model) dispatch() {
+	for len(m.running) < m.t.Cores && len(m.queue) > 0 && m.hung == 0 {
+		j := m.queue[0]
+		m.queue[0] = nil
+		m.queue = m.queue[1:]
+		if m.t.GiveUp != RunsOn && (j.gone || m.now > j.end) {
+			continue
+		}
+		if !j.probe && (j.rpc.Token == 0 || m.t.Store == nil || m.t.Store.First(j.rpc.Token, m.t, m.now)) {
+			m.tell(Ran{j.rpc})
+			if m.t.Ledger != nil {
+				m.t.Ledger.Note(j.rpc, m.t.EP, m.now)
+			}
+		}
+		j.began, j.since = m.now, m.now
+		m.running = append(m.running, j)
+		m.time(j)
+	}
+}
+
+// time sets when a running job will be done, as things stand.
+func (m *Model) time(j *job) {
+	j.life++
+	life := j.life
+	m.at(m.finish(m.now, j.left), func() {
+		if j.life == life {
+			m.finished(j)
+		}
+	})
+}
+
+func (m *Model) finished(j *job) {
+	for i, x := range m.running {
+		if x == j {
+			m.running = append(m.running[:i], m.running[i+1:]...)
+			break
+		}
+	}
+	if !j.probe {
+		m.answer(j.from, j.rpc.ID, OK)
+	}
+	m.dispatch()
+}
+
+// change alters how fast work proceeds: what runs is first reckoned as far as it got.
+func (m *Model) change(do func()) {
+	if m.hung == 0 {
+		for _, j := range m.running {
+			j.left = max(0, j.left-m.done(j.since, m.now))
+		}
+	}
+	do()
+	for _, j := range m.running {
+		j.since = m.now
+		j.life++
+		if m.hung == 0 {
+			m.time(j)
+		}
+	}
+	m.dispatch()
+}
+
+// Probe asks whether it answers. A probe waits its turn like any work.
+func (m *Model) Probe(c Caller, id uint64) {
+	if m.callers[c] == nil || m.fallen || m.hung > 0 {
+		return
+	}
+	if m.draining || m.t.ProbesMost > 0 && m.probes >= m.t.ProbesMost {
+		m.tell(Probed{c, id, PushedBack})
+		return
+	}
+	m.probes++
+	m.burden(m.t.ProbeWork)
+	ahead := 0.0
+	for _, j := range m.queue {
+		ahead += j.left
+	}
+	m.at(m.finish(m.now, ahead/float64(m.t.Cores)+m.t.ProbeWork), func() {
+		m.probes--
+		if m.callers[c] != nil && m.hung == 0 {
+			m.tell(Probed{c, id, OK})
+		}
+	})
+}
+
+// Load is what a load report says: RPCs under way, waiting, and the share of its cores that are busy.
+func (m *Model) Load() (underWay, waiting int, busy float64) {
+	return len(m.running) + len(m.queue), len(m.queue), float64(len(m.running)) / float64(m.t.Cores)
+}
+
+type timer struct {
+	at Seconds
+	n  uint64
+	do func()
+}
+
+type timers []timer
+
+var _ heap.Interface = (*timers)(nil)
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].n < t[j].n
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return x
+}
+
+// memory is the keys met lately; the one not met for longest is forgotten first.
+type memory struct {
+	most  int
+	at    map[uint64]uint64 // when each was last met
+	row   []met             // oldest first; those met again since are stale
+	count uint64
+}
+
+type met struct {
+	key uint64
+	n   uint64
+}
+
+// seen tells whether a key is remembered, and remembers it.
+func (k *memory) seen(key uint64) bool {
+	if k.at == nil {
+		k.at = map[uint64]uint64{}
+	}
+	_, known := k.at[key]
+	k.count++
+	k.at[key] = k.count
+	k.row = append(k.row, met{key, k.count})
+	for len(k.at) > k.most {
+		old := k.row[0]
+		k.row = k.row[1:]
+		if k.at[old.key] == old.n {
+			delete(k.at, old.key)
+		}
+	}
+	if len(k.row) > 4*k.most+16 {
+		k.row = slices.DeleteFunc(k.row, func(x met) bool { return k.at[x.key] != x.n })
+	}
+	return known
+}
--- /dev/null
+++ b/internal/emulator/work.go
@@ -0,0 +1,112 @@
+// Package emulator emulates a server well enough that a decision that would hurt in service hurts here: work drawn from
+// distributions, cores behind a bounded queue, warm-up and falls, connections, handshakes, give-ups, tokens, probes,
+// load reports, a memory of keys. Model is a plain state machine of typed events; Server puts the protocol around it and
+// is a machine, driven by sockets or by virtual time.
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+)
+
+// Seconds are seconds with fractions.
+type Seconds = float64
+
+// Dice draw numbers that depend on a seed alone. A checksum over a counter will not do here: its neighbours hang together,
+// and arrivals drawn from it come too evenly, so that queues look shorter than they are (a test against the textbook
+// found it).
+type Dice struct{ r *rand.Rand }
+
+// NewDice makes dice.
+func NewDice(seed uint64) Dice { return Dice{rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))} }
+
+// Draw gives a number from 0 to 1, 1 excluded.
+func (d *Dice) Draw() float64 { return d.r.Float64() }
+
+// Wait draws the time to the next of events that come at random at a rate.
+func (d *Dice) Wait(rate float64) Seconds {
+	if rate <= 0 {
+		return math.Inf(1)
+	}
+	return d.r.ExpFloat64() / rate
+}
+
+// normal draws from the standard normal distribution.
+func (d *Dice) normal() float64 {
+	return d.r.NormFloat64()
+}
+
+// Shape is a family of distributions.
+type Shape uint8
+
+const (
+	Exponential Shape = iota
+	Fixed
+	Lognormal // Param: the coefficient of variation
+	Pareto    // Param: the tail's exponent, above 2 so that waits have a mean; the heavier the nearer 2
+)
+
+// Work is how much work RPCs of a method bring, in seconds on one core of speed 1.
+type Work struct {
+	Mean  Seconds
+	Shape Shape
+	Param float64
+}
+
+// ParseWork reads exponential, fixed, lognormal:CV or pareto:EXPONENT, for a mean.
+func ParseWork(word string, mean Seconds) (Work, error) {
+	name, arg, has := strings.Cut(word, ":")
+	w := Work{Mean: mean}
+	if has {
+		var err error
+		if w.Param, err = strconv.ParseFloat(arg, 64); err != nil || !(w.Param > 0 && w.Param < 1000) {
+			return w, fmt.Errorf("work %q: %q is no number above 0", word, arg)
+		}
+	}
+	switch {
+	case name == "exponential" && !has:
+	case name == "fixed" && !has:
+		w.Shape = Fixed
+	case name == "lognormal" && has:
+		w.Shape = Lognormal
+	case name == "pareto" && has && w.Param > 2:
+		w.Shape = Pareto
+	case name == "pareto" && has:
+		return w, fmt.Errorf("work %q: an exponent of %v has no mean wait, above 2 expected", word, w.Param)
+	default:
+		return w, fmt.Errorf("work %q is none of exponential, fixed, lognormal:CV, pareto:EXPONENT", word)
+	}
+	return w, nil
+}
+
+// Draw gives one RPC's work.
+func (w Work) Draw(d *Dice) Seconds {
+	switch w.Shape {
+	case Fixed:
+		return w.Mean
+	case Lognormal:
+		s2 := math.Log(1 + w.Param*w.Param)
+		return w.Mean * math.Exp(math.Sqrt(s2)*d.normal()-s2/2)
+	case Pareto:
+		least := w.Mean * (w.Param - 1) / w.Param
+		return least * math.Pow(1-d.Draw(), -1/w.Param)
+	}
+	return d.r.ExpFloat64() * w.Mean
+}
+
+// Square is the mean of the work's square, which the wait in a queue goes by.
+func (w Work) Square() float64 {
+	switch w.Shape {
+	case Fixed:
+		return w.Mean * w.Mean
+	case Lognormal:
+		return w.Mean * w.Mean * (1 + w.Param*w.Param)
+	case Pareto:
+		least := w.Mean * (w.Param - 1) / w.Param
+		return least * least * w.Param / (w.Param - 2)
+	}
+	return 2 * w.Mean * w.Mean
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/emulator"
 	"gingerfork/internal/loop"
 	"gingerfork/internal/proto"
 	"gingerfork/internal/standin"
@@ -91,7 +92,7 @@
 		ep := proto.EP(i + 1)
 		all = append(all, standin.Listing{EP: ep, State: proto.ServerOpen, Zone: "a", Weight: 1, Stamp: 1, Addr: "127.0.0.1:1"})
 		if rate > 0 {
-			crowd.Add(fmt.Sprint("s", i), standin.NewServer(standin.ServerTrade{EP: ep, Capacity: 1000, Workers: 8, QueueMost: 100, Seed: uint64(ep)}), 1)
+			crowd.Add(fmt.Sprint("s", i), emulator.NewServer(emulator.Trade{EP: ep, Cores: 8, Speed: 1, Work: []emulator.Work{{Mean: 0.008}}, QueueMost: 100, Seed: uint64(ep)}), 1)
 			doors = append(doors, "127.0.0.1:0")
 		}
 	}
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -12,6 +12,7 @@
 
 	"gingerfork/choice"
 	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/emulator"
 	"gingerfork/internal/rules"
 	"gingerfork/internal/standin"
 )
@@ -62,6 +63,8 @@
 	Workers  int
 	Queue    int
 	Weight   float64
+	Work     emulator.Work
+	GiveUp   emulator.GiveUp
 }
 
 // FrontGroup is so many equal front ends.
@@ -302,7 +305,7 @@
 }
 
 func readServers(w []string) (g ServerGroup, err error) {
-	g = ServerGroup{Kind: "std", Workers: 2, Queue: 30, Weight: 1, Capacity: 20}
+	g = ServerGroup{Kind: "std", Workers: 2, Queue: 30, Weight: 1, Capacity: 20, GiveUp: emulator.SkipsWait}
 	if len(w) < 2 {
 		return g, fmt.Errorf("servers takes their number")
 	}
@@ -323,8 +326,15 @@
 			g.Queue, err = bootstrap.Whole(v, 0, 1e6)
 		case "weight":
 			g.Weight, err = bootstrap.Number(v)
+		case "work":
+			g.Work, err = emulator.ParseWork(v, 1)
+		case "give-up":
+			how, known := map[string]emulator.GiveUp{"runs-on": emulator.RunsOn, "skips-wait": emulator.SkipsWait, "stops": emulator.Stops}[v]
+			if g.GiveUp = how; !known {
+				err = fmt.Errorf("%q is none of runs-on, skips-wait, stops", v)
+			}
 		default:
-			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "kind", "capacity", "workers", "queue", "weight"}))
+			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "kind", "capacity", "workers", "queue", "weight", "work", "give-up"}))
 		}
 		return err
 	})
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"hash/crc32"
 	"slices"
 	"strconv"
 
 	"gingerfork/choice"
 	"gingerfork/internal/coordinator"
+	"gingerfork/internal/emulator"
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
 	"gingerfork/internal/rules"
@@ -47,7 +47,7 @@
 	fronts  []*actor
 	coords  []*actor
 	all     map[string]*actor
-	draws   uint32
+	dice    emulator.Dice
 	count   int
 	begin   machine.Seconds
 	spoil   map[string]any // values given to coordinators in place of the settings'
@@ -67,7 +67,7 @@
 }
 
 func newCast(d *Day) *cast {
-	c := &cast{day: d, all: map[string]*actor{}}
+	c := &cast{day: d, all: map[string]*actor{}, dice: emulator.NewDice(d.Seed)}
 	zones := d.Zones()
 	zone := func(z string, i int) string {
 		if z == "" {
@@ -98,10 +98,7 @@
 	return c
 }
 
-func (c *cast) draw() float64 {
-	c.draws++
-	return float64(crc32.ChecksumIEEE([]byte(strconv.FormatUint(c.day.Seed, 10)+"/"+strconv.Itoa(int(c.draws))))) / (1 << 32)
-}
+func (c *cast) draw() float64 { return c.dice.Draw() }
 
 // listings is what the list service knows at the beginning; addr tells where servers are reached.
 func (c *cast) listings(addr func(a *actor) string) (all []standin.Listing) {
@@ -112,12 +109,17 @@
 	return all
 }
 
-func (c *cast) server(a *actor, store *standin.Store) *standin.Server {
+// server makes an emulated server of a group's capacity.
+func (c *cast) server(a *actor, store *emulator.Store) *emulator.Server {
 	b := choice.Bootstrap{Values: c.day.Trade.Values}
 	a.lives++
-	return standin.NewServer(standin.ServerTrade{EP: a.ep, Zone: a.zone, Capacity: a.group.Capacity, Workers: a.group.Workers,
-		QueueMost: a.group.Queue, Cold: a.lives > 1, ColdShare: b.Num("cold_share", 0.3), WarmAfter: b.Num("warm_after", 10),
-		FallMultiple: b.Num("fall_multiple", 3), FallWindow: b.Num("fall_window", 1), Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives), Store: store})
+	g := a.group
+	work := g.Work
+	work.Mean = float64(g.Workers) / g.Capacity
+	return emulator.NewServer(emulator.Trade{EP: uint32(a.ep), Zone: a.zone, Cores: g.Workers, Speed: 1, Work: []emulator.Work{work}, QueueMost: g.Queue,
+		GiveUp: g.GiveUp, Cold: a.lives > 1, ColdShare: b.Num("cold_share", 0.3), WarmAfter: b.Num("warm_after", 10),
+		FallMultiple: b.Num("fall_multiple", 3), FallWindow: b.Num("fall_window", 1), ProbeWork: work.Mean / 10, ProbesMost: 10,
+		ConnWork: work.Mean / 10, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives), Store: store})
 }
 
 func (c *cast) front(a *actor, coords []string) *standin.FrontEnd {
@@ -134,9 +136,9 @@
 }
 
 // store is what servers share for tokens, as the settings' groups allow.
-func (c *cast) store() *standin.Store {
+func (c *cast) store() *emulator.Store {
 	b := choice.Bootstrap{Values: c.day.Trade.Values}
-	s := &standin.Store{}
+	s := &emulator.Store{}
 	for i := range c.day.Trade.Methods {
 		s.Window = max(s.Window, b.Num(fmt.Sprintf("method.%d.window", i), 0))
 	}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -200,10 +200,10 @@
 seed 5
 servers 4 zone dc-kewdale capacity 30
 servers 3 zone dc-malaga capacity 30
-frontends 3 zone dc-kewdale rate 23
-frontends 3 zone dc-malaga rate 22
+frontends 3 zone dc-kewdale rate 26
+frontends 3 zone dc-malaga rate 26
 mix 70% 30%
-at 5s deploy servers 4 drain 1s down 1s every 1500ms
+at 5s deploy servers 4 drain 1s down 1s every 300ms
 `), Options{Values: values})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/standin/common.go
+++ b/internal/standin/common.go
@@ -5,37 +5,11 @@
 
 import (
 	"container/heap"
-	"encoding/binary"
 	"hash/crc32"
-	"math"
 
 	"gingerfork/internal/machine"
 )
 
-// dice draws numbers that depend on a seed and a counter alone.
-type dice struct {
-	seed  uint64
-	count uint64
-}
-
-func (d *dice) draw() float64 {
-	d.count++
-	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, d.seed), d.count)
-	// Two sums, so that neighbours in seed and count differ in all bits.
-	lo, hi := crc32.ChecksumIEEE(b), crc32.Checksum(b, castagnoli)
-	return float64(uint64(hi)<<21^uint64(lo)) / (1 << 53)
-}
-
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
-// wait draws the time to the next of events that come at random at a rate.
-func (d *dice) wait(rate float64) machine.Seconds {
-	if rate <= 0 {
-		return machine.Never
-	}
-	return -math.Log(1-d.draw()) / rate
-}
-
 // Seed makes a seed out of one and a name.
 func Seed(of uint64, name string) uint64 {
 	return of<<32 ^ uint64(crc32.ChecksumIEEE([]byte(name)))
--- a/internal/standin/frontend.go
+++ b/internal/standin/frontend.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"gingerfork/internal/emulator"
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
 	"gingerfork/internal/trace"
@@ -65,7 +66,7 @@
 // FrontEnd follows the tables of one coordinator, and sends the RPCs that come to it to servers.
 type FrontEnd struct {
 	trade  FrontTrade
-	dice   dice
+	dice   emulator.Dice
 	timers timers
 	out    *machine.Out
 	conns  machine.Conn
@@ -161,7 +162,7 @@
 
 // NewFrontEnd makes one.
 func NewFrontEnd(t FrontTrade) *FrontEnd {
-	return &FrontEnd{trade: t, dice: dice{seed: t.Seed}, conns: machine.Dialled, rate: t.Rate, tables: map[uint64]*sheet{},
+	return &FrontEnd{trade: t, dice: emulator.NewDice(t.Seed), conns: machine.Dialled, rate: t.Rate, tables: map[uint64]*sheet{},
 		methods: make([]*sheet, len(t.Methods)), withdrawn: map[proto.EP]bool{}, links: map[proto.EP]*link{},
 		health: map[proto.EP]health{}, byID: map[machine.Conn]*link{}, rpcs: map[uint64]*rpc{}, usage: make([]proto.Usage, len(t.Methods)),
 		sums: map[proto.EP]*met{}}
@@ -176,8 +177,8 @@
 			f.usage[m].Method = uint64(m)
 		}
 		f.dial(now)
-		f.timers.at(now+f.trade.Period*(0.5+f.dice.draw()), f.report)
-		f.timers.at(now+f.dice.wait(f.rate), f.arrive)
+		f.timers.at(now+f.trade.Period*(0.5+f.dice.Draw()), f.report)
+		f.timers.at(now+f.dice.Wait(f.rate), f.arrive)
 	}
 	// While it applies a push it stands still: what comes meanwhile waits.
 	f.held = append(f.held, in...)
@@ -261,7 +262,7 @@
 	if f.failed++; f.failed > 1 {
 		f.at++
 	}
-	f.timers.at(now+min(0.1*float64(f.failed), 2)*(0.5+f.dice.draw()), func(now machine.Seconds) {
+	f.timers.at(now+min(0.1*float64(f.failed), 2)*(0.5+f.dice.Draw()), func(now machine.Seconds) {
 		if f.stream == 0 {
 			f.dial(now)
 		}
@@ -459,10 +460,10 @@
 
 // arrive: a client's RPC comes.
 func (f *FrontEnd) arrive(now machine.Seconds) {
-	f.timers.at(now+f.dice.wait(f.rate), f.arrive)
+	f.timers.at(now+f.dice.Wait(f.rate), f.arrive)
 	f.count++
 	r := &rpc{id: Seed(0, fmt.Sprint(f.trade.Name, f.trade.Seed))<<32 | f.count, asked: now}
-	x := f.dice.draw()
+	x := f.dice.Draw()
 	for m, t := range f.trade.Methods {
 		if r.method = m; x < t.Share {
 			break
@@ -497,7 +498,7 @@
 		return true
 	}
 	if !f.trade.LevelRate {
-		return l.level >= 1 || f.dice.draw() < l.level
+		return l.level >= 1 || f.dice.Draw() < l.level
 	}
 	l.room = min(l.room+(now-l.last)*l.level, max(1, l.level))
 	l.last = now
@@ -537,7 +538,7 @@
 		for _, x := range open {
 			sum += x.weight
 		}
-		at := f.dice.draw() * sum
+		at := f.dice.Draw() * sum
 		for _, x := range open {
 			if at -= x.weight; at < 0 {
 				return x
@@ -795,7 +796,7 @@
 		idle := f.rate <= 0
 		f.rate = v
 		if idle {
-			f.timers.at(now+f.dice.wait(f.rate), f.arrive)
+			f.timers.at(now+f.dice.Wait(f.rate), f.arrive)
 		}
 	case "still":
 		f.still = max(f.still, now+v)
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"gingerfork/internal/emulator"
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
 	"gingerfork/internal/trace"
@@ -50,7 +51,7 @@
 }
 
 // play runs a front end under one table with servers, and counts tries by server and ends by kind.
-func play(t *testing.T, span float64, trade FrontTrade, h *herald, servers ...ServerTrade) (tries map[uint32]int, ends map[string]int, all []trace.Record) {
+func play(t *testing.T, span float64, trade FrontTrade, h *herald, servers ...emulator.Trade) (tries map[uint32]int, ends map[string]int, all []trace.Record) {
 	t.Helper()
 	w := virtual.New(1, 1e6, 0.0003, 0.0006)
 	tries, ends = map[uint32]int{}, map[string]int{}
@@ -68,7 +69,7 @@
 	w.Start("c0")
 	for _, s := range servers {
 		name := fmt.Sprint("s", s.EP)
-		w.Add(name, "a", func(machine.Seconds, map[string][]byte) machine.Machine { return NewServer(s) }, name)
+		w.Add(name, "a", func(machine.Seconds, map[string][]byte) machine.Machine { return emulator.NewServer(s) }, name)
 		w.Start(name)
 	}
 	trade.Name, trade.Zone, trade.Coordinators, trade.Period, trade.ConnectTimeout, trade.Seed = "f0", "a", []string{"c0"}, 1, 0.2, 3
@@ -92,8 +93,14 @@
 	return &herald{ops: []proto.Op{o}}
 }
 
-func quick(ep proto.EP) ServerTrade {
-	return ServerTrade{EP: ep, Capacity: 5000, Workers: 50, QueueMost: 100, Seed: uint64(ep)}
+// server is one that carries so many RPCs a second on so many cores.
+func server(ep proto.EP, capacity float64, cores, queue int) emulator.Trade {
+	return emulator.Trade{EP: uint32(ep), Cores: cores, Speed: 1, Work: []emulator.Work{{Mean: float64(cores) / capacity}}, QueueMost: queue, Seed: uint64(ep),
+		GiveUp: emulator.SkipsWait}
+}
+
+func quick(ep proto.EP) emulator.Trade {
+	return server(ep, 5000, 50, 100)
 }
 
 func TestPicks(t *testing.T) {
@@ -110,7 +117,7 @@
 		}
 	}
 	// Of two drawn, the one with fewer RPCs under way: one that is slow gets less than its weight.
-	slow := ServerTrade{EP: 1, Capacity: 30, Workers: 20, QueueMost: 100, Seed: 9}
+	slow := server(1, 30, 20, 100)
 	tries, _, _ := play(t, 40, FrontTrade{Rate: 60, Pick: "pair"}, bind(nil, 1, 1), slow, quick(2))
 	if part := float64(tries[1]) / float64(tries[1]+tries[2]); part > 0.35 || part < 0.02 {
 		t.Errorf("pair: the slow server has %.2f of the tries", part)
@@ -118,10 +125,10 @@
 }
 
 func TestTriesAsOrdered(t *testing.T) {
-	full := ServerTrade{EP: 1, Capacity: 1, Workers: 0, QueueMost: 0, Seed: 1}        // pushes all back: proof
-	hangs := ServerTrade{EP: 1, Capacity: 0.001, Workers: 100, QueueMost: 9, Seed: 1} // takes it and does not answer
+	full := server(1, 1, 0, 0)           // pushes all back: proof
+	hangs := server(1, 0.001, 100000, 9) // takes it and does not answer
 	for name, c := range map[string]struct {
-		first ServerTrade
+		first emulator.Trade
 		tries uint64
 		again bool
 	}{
@@ -152,7 +159,7 @@
 	if n := ends["ok"]; n < 700 || n > 900 {
 		t.Errorf("a level of 20 a second let in %d in 40 s", n)
 	}
-	full := ServerTrade{EP: 1, Capacity: 1, Workers: 0, QueueMost: 0, Seed: 1}
+	full := server(1, 1, 0, 0)
 	without, _, _ := play(t, 30, FrontTrade{Rate: 50, Pick: "lottery"}, bind(nil, 1, 1), full, quick(2))
 	with, _, _ := play(t, 30, FrontTrade{Rate: 50, Pick: "lottery", Strikes: 3, KeepAway: 5}, bind(nil, 1, 1), full, quick(2))
 	if with[1]*5 > without[1] || with[1] < 6 {
@@ -170,7 +177,8 @@
 		rate  float64
 		falls bool
 	}{{20, false}, {60, true}} {
-		cold := ServerTrade{EP: 1, Capacity: 60, Workers: 10, QueueMost: 200, Cold: true, ColdShare: 0.25, WarmAfter: 20, FallMultiple: 2.5, FallWindow: 1, Seed: 4}
+		cold := server(1, 60, 10, 200)
+		cold.Cold, cold.ColdShare, cold.WarmAfter, cold.FallMultiple, cold.FallWindow = true, 0.25, 20, 2.5, 1
 		_, ends, all := play(t, 10, FrontTrade{Rate: c.rate, Pick: "even"}, bind(nil, 1), cold)
 		fell := 0
 		for _, r := range all {
@@ -191,8 +199,9 @@
 
 // Repeats of a token run once, wherever they come.
 func TestStoreDropsRepeats(t *testing.T) {
-	store := &Store{Window: 5}
-	hangs := ServerTrade{EP: 1, Capacity: 2, Workers: 50, QueueMost: 100, Seed: 1, Store: store}
+	store := &emulator.Store{Window: 5}
+	hangs := server(1, 2, 50, 100)
+	hangs.Store = store
 	other := quick(2)
 	other.Store = store
 	methods := []MethodTrade{{Name: "save", Effect: Tokened, Criticality: 1, SoftDeadline: 0.3, Deadline: 2, Share: 1}}
@@ -316,7 +325,7 @@
 func TestCrowd(t *testing.T) {
 	c := NewCrowd()
 	for i := range 3 {
-		c.Add(fmt.Sprint("s", i), NewServer(quick(proto.EP(i+1))), 1)
+		c.Add(fmt.Sprint("s", i), emulator.NewServer(quick(proto.EP(i+1))), 1)
 	}
 	var out machine.Out
 	out.Reset()
@@ -332,7 +341,7 @@
 			names = append(names, fmt.Sprint(a.Conn, m))
 		}
 	}
-	if got := strings.Join(names, "; "); !strings.Contains(got, "5 {1 3 0 []}") || !strings.Contains(got, "6 {1 1 0 []}") || !strings.Contains(got, "6 {1 pushed back}") {
+	if got := strings.Join(names, "; "); !strings.Contains(got, "5 {1 server-3 0 []}") || !strings.Contains(got, "6 {1 server-1 0 []}") || !strings.Contains(got, "6 {1 pushed back}") {
 		t.Fatal(got)
 	}
 	if c.members[1].wake < machine.Never && c.members[1].next != 0 {
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -5,9 +5,8 @@
 
 import (
 	"container/heap"
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
+	"math/rand/v2"
 	"slices"
 
 	"gingerfork/internal/machine"
@@ -28,7 +27,7 @@
 // World is the network and all that is on it.
 type World struct {
 	now     machine.Seconds
-	seed    uint64
+	dice    *rand.Rand
 	count   uint64
 	events  queue
 	nodes   map[string]*node
@@ -121,17 +120,13 @@
 
 // New makes an empty world at a time.
 func New(seed uint64, now, same, cross machine.Seconds) *World {
-	return &World{now: now, seed: seed, nodes: map[string]*node{}, doors: map[string]door{}, same: same, cross: cross}
+	return &World{now: now, dice: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, doors: map[string]door{}, same: same, cross: cross}
 }
 
 // Now is the time.
 func (w *World) Now() machine.Seconds { return w.now }
 
-func (w *World) draw() float64 {
-	w.count++
-	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, w.seed), w.count)
-	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
-}
+func (w *World) draw() float64 { return w.dice.Float64() }
 
 // At has something done at a time.
 func (w *World) At(at machine.Seconds, do func()) {
