An emptied list no longer spoils the best rate; sole cold servers are spared

Besides, an arc that would stay bare was filled with a sole cold server whatever it was brought.

Change: no rate is taken while nothing is open. A cold server that the arcs would topple is withdrawn while no warm one is listed (docs/design.md has the conditions).

Each guard taken out fails its test.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,7 +48,8 @@
 	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
 )
 
-// KeepPlace is how long what left or is gone keeps its place, in seconds: long after any order, sum or probe of it.
+// KeepPlace is how long what left or is gone keeps its place, in seconds: long after any order, sum or probe
+// of it.
 const KeepPlace = 600.0
 
 // Step takes the events of one moment and returns what to do.
@@ -76,7 +77,9 @@
 		c.pull()
 		c.readmit()
 		if c.ring.dirty {
-			c.ring.deal()
+			if c.ring.deal(); c.spareCold() {
+				c.ring.deal()
+			}
 		}
 		for _, p := range c.stirred {
 			p.stirred = false
@@ -437,6 +440,23 @@
 			}
 		}
 	}
+	c.brought = make([]float64, len(c.id))
+	for _, w := range walks {
+		place := func(i int) float64 { return c.ease[i] * c.weight[i] }
+		usable := 0.0
+		for _, i := range w.arc {
+			if !c.shut[i] {
+				usable += place(i)
+			}
+		}
+		for _, i := range w.arc {
+			if beside := usable; c.shut[i] { // what it would be brought if it were let in
+				c.brought[i] += w.p.held * place(i) / (beside + place(i))
+			} else {
+				c.brought[i] += w.p.held * place(i) / usable
+			}
+		}
+	}
 	for _, w := range walks {
 		was := w.s.want
 		w.s.want = make([]line, len(w.arc))
@@ -553,6 +573,31 @@
 	}
 }
 
+// topples tells whether the arcs would bring a cold server more than it stands where no warm one is listed, as
+// when a list shrinks to few servers, all cold. The best rate of answers is less than a server can do, so the
+// bound is wider: a fleet that is all cold at its usual load stays within it. It harms where the best rate was
+// seen on a very quiet day.
+func (c *Planner) topples(i int) bool {
+	most := c.boot.Num("fall_multiple", 3) * c.ease[i] * c.weight[i] * c.gate.best / coldStrain * c.ours()
+	if c.shut[i] {
+		most /= 2 // else it would come and go
+	}
+	return c.ease[i] < 1 && c.gate.best > 0 && c.brought[i] > most &&
+		c.open(func(k int) float64 { return math.Floor(c.ease[k]) }) == 0
+}
+
+// spareCold withdraws such servers: who is left without a line goes without, which beats a server that is
+// down for good; rule 1 asks for a line only where a warm one is listed.
+func (c *Planner) spareCold() (any bool) {
+	for i := range c.id {
+		if c.state[i] == Open && !c.shut[i] && c.topples(i) {
+			c.withdraw(i, true)
+			any = true
+		}
+	}
+	return any
+}
+
 // readmit lets a withdrawn server in again once no table gives it more than it may have.
 func (c *Planner) readmit() {
 	for i := range c.id {
@@ -560,7 +605,7 @@
 			continue
 		}
 		risky := func(p *proxy) bool { return p.joined && p.heaviest(i) > 1.05*c.weight[i]*c.ease[i] }
-		if !slices.ContainsFunc(c.proxies, risky) {
+		if !c.topples(i) && !slices.ContainsFunc(c.proxies, risky) {
 			c.withdraw(i, false)
 			c.ring.dirty = true
 		}
@@ -667,8 +712,11 @@
 	room := c.room()
 	g.slow, g.struck = slow/max(good, 1e-9), struck/met
 	g.fair += 0.2 * (fairLeast + (fairMost-fairLeast)*min(1, max(0, 2-4*g.slow)) - g.fair)
-	g.rate += 0.3 * (good/room - g.rate)
-	g.best = max(g.best, g.rate)
+	// Answers that are still told of while nothing is open, as when the list emptied, are nobody's rate.
+	if room > 1e-6 {
+		g.rate += 0.3 * (good/room - g.rate)
+		g.best = max(g.best, g.rate)
+	}
 	switch {
 	case all == 0:
 		return
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -815,3 +815,73 @@
 		}
 	}
 }
+
+// busy is a fleet of eight warm servers that has seen its usual rate of answers.
+func busy(t *testing.T) (w *world, now []Event) {
+	w = newWorld(t, map[string]any{"probes": false, "listing": "pushed", "proxies": 4.0})
+	l := Listed{Kind: ListFull}
+	for id := range EP(8) {
+		l.Entries = append(l.Entries, Entry{EP: id + 1, State: Open, Zone: "a", Weight: 1})
+		now = append(now, TrySum{EP: id + 1, Zone: "a", Tries: 10, Delay: 0.05, Over: 1})
+	}
+	w.step(0, l)
+	for p := range Proxy(4) {
+		w.step(0, Joined{Proxy: p, Zone: "a", Rate: 20})
+		now = append(now, UsageSum{Proxy: p, Method: 0, RPCs: 20, Over: 1})
+	}
+	for range 15 {
+		w.step(1, now...)
+	}
+	return w, now
+}
+
+// Sums that come after the list emptied must not count as a rate without end: it let in all that is cold, benched
+// without bound and shed nothing, for good. Found by a search over random days.
+func TestEmptiedListSpoilsNoRate(t *testing.T) {
+	w, sums := busy(t)
+	before := w.c.gate.best
+	w.step(0.1, Listed{Kind: ListFull})
+	for range 5 {
+		w.step(0.5, sums...)
+	}
+	if after := w.c.gate.best; before <= 0 || after > 2*before {
+		t.Fatalf("the best rate of answers went from %v to %v", before, after)
+	}
+}
+
+// A list that shrinks to one cold server: it is withdrawn while it would topple, and back once it is warm. With warm
+// ones beside it, or little usage, it stays in use. Found by a search over random days.
+func TestSoleColdServerIsSpared(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers int
+		warm    bool
+		rate    float64
+		shut    bool
+	}{"alone": {1, false, 20, true}, "with a warm one": {1, true, 20, false}, "little usage": {1, false, 0.2, false}, "all cold": {8, false, 20, false}} {
+		w, _ := busy(t)
+		l := Listed{Kind: ListFull}
+		for id := range EP(c.servers) {
+			l.Entries = append(l.Entries, Entry{EP: id + 1, State: Open, Zone: "a", Weight: 1, Start: w.now})
+		}
+		if c.warm {
+			l.Entries = append(l.Entries, Entry{EP: 8, State: Open, Zone: "a", Weight: 1})
+		}
+		for _, p := range w.c.proxies {
+			p.usage[0] = c.rate
+		}
+		w.step(1.1, l)
+		shut := false
+		for id := range EP(c.servers) {
+			shut = shut || w.shut[id+1]
+		}
+		if shut != c.shut {
+			t.Errorf("%s: withdrawn %v", name, shut)
+		}
+		for range 60 {
+			w.step(0.25)
+		}
+		if w.shut[1] {
+			t.Errorf("%s: it is warm and still withdrawn", name)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -154,7 +154,7 @@
 	c.id, c.zone, c.weight = append(c.id, id), append(c.zone, 0), append(c.weight, 1)
 	c.state, c.start = append(c.state, Gone), append(c.start, 0)
 	c.hash = append(c.hash, crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id))))
-	c.carry, c.cover = append(c.carry, 0), append(c.cover, 0)
+	c.carry, c.cover, c.brought = append(c.carry, 0), append(c.cover, 0), append(c.brought, 0)
 	c.ease, c.shut, c.probe = append(c.ease, 1), append(c.shut, false), append(c.probe, 0)
 	c.good, c.back, c.dealt = append(c.good, 0), append(c.back, 0), append(c.dealt, c.now)
 	c.deaf = append(c.deaf, 0)
@@ -172,7 +172,7 @@
 	c.index[id] = i
 	c.id[i], c.zone[i], c.weight[i], c.state[i], c.start[i] = id, 0, 1, Gone, 0
 	c.hash[i] = crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id)))
-	c.carry[i], c.cover[i], c.ease[i], c.shut[i], c.probe[i] = 0, 0, 1, false, 0
+	c.brought[i], c.carry[i], c.cover[i], c.ease[i], c.shut[i], c.probe[i] = 0, 0, 0, 1, false, 0
 	c.good[i], c.back[i], c.dealt[i], c.deaf[i], c.owed[i] = 0, 0, c.now, 0, 0
 	c.trust[i], c.leant[i], c.gone[i] = 1, 0, 0
 	for _, of := range [][][]float64{c.tries, c.bad, c.delay, c.last, c.bench} {
--- a/choice/types.go
+++ b/choice/types.go
@@ -276,6 +276,7 @@
 	hash              []uint32
 	ease              []float64 // share of its full weight
 	carry             []float64 // usage that the arcs dealt so far bring it
+	brought           []float64 // usage that the arcs bring it, or would if it were let in
 	part              []float64 // weight, as far as the server is warm and trusted
 	good, back, dealt []Seconds // last good answer; return from deafness; when it was first listed
 	deaf              []int     // probes in a row without an answer
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -78,7 +78,7 @@
 }
 
 // known are the seeds whose scripts break a rule by what the module decides; docs/incidents/rehearsed.md tells why.
-var known = map[uint64]string{120: "rule 4", 248: "rule 4"}
+var known = map[uint64]string{248: "rule 4"}
 
 // Some hundreds of random scripts of two to four troubles break nothing but what is written up.
 func TestSearchFindsNothingNew(t *testing.T) {
