--- a/choice/choice.go
+++ b/choice/choice.go
@@ -573,10 +573,10 @@
 	}
 }
 
-// topples tells whether the arcs would bring a cold server more than it stands where no warm one is listed, as
-// when a list shrinks to few servers, all cold. The best rate of answers is less than a server can do, so the
-// bound is wider: a fleet that is all cold at its usual load stays within it. It harms where the best rate was
-// seen on a very quiet day.
+// topples tells whether the arcs would bring a cold server more than it stands where no warm one is listed,
+// as when a list shrinks to few servers, all cold. The best rate of answers is less than a server can do,
+// so the bound is wider: a fleet that is all cold at its usual load stays within it. It harms where the
+// best rate was seen on a very quiet day.
 func (c *Planner) topples(i int) bool {
 	most := c.boot.Num("fall_multiple", 3) * c.ease[i] * c.weight[i] * c.gate.best / coldStrain * c.ours()
 	if c.shut[i] {
