The log tells of withdrawals: backend, mark, and at how many proxies

Need: operators look for the moment a server went out of use. Change: one line for each withdrawal and readmission, with backend, mark and number of proxies. Result: a test reads it; no line per RPC or table line is added.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -190,6 +190,9 @@
 	if all := r.pushes(1); !has(all, proto.OpWithdraw, ep) {
 		t.Fatalf("server %d was not withdrawn: %+v", ep, all)
 	}
+	if !slices.ContainsFunc(r.logs, func(l string) bool { return strings.HasPrefix(l, "server withdrawn[backend "+fmt.Sprint(ep)+" mark 2") }) {
+		t.Errorf("the log does not tell of it: %q", r.logs)
+	}
 	if f := r.m.Figures(); f.Joins != 1 || f.Stale != 0 || f.Messages != 2 {
 		t.Errorf("%+v", f)
 	}
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -66,6 +66,7 @@
 	Fetch  bool
 	Tells  []choice.Tell
 	Says   []string
+	Turns  []Turn // servers withdrawn or let in again, for the log
 	Kept   []byte // the list to keep; nil: as it was
 	Wake   choice.Seconds
 	// ListBad says why the last list frame was refused; the stream that it came on is to be closed.
@@ -83,6 +84,13 @@
 		Stream StreamID
 		Reason string
 	}
+	// Turn tells that a server was withdrawn, or let in again, at so many proxies, with the step's mark.
+	Turn struct {
+		EP      choice.EP
+		Out     bool
+		Proxies int
+		Mark    choice.Mark
+	}
 	// Target is a server to probe.
 	Target struct {
 		EP   choice.EP
@@ -389,6 +397,11 @@
 			c.carry(now, o)
 		}
 	}
+	for i := range c.out.Turns {
+		if mark != nil {
+			c.out.Turns[i].Mark = mark.Mark
+		}
+	}
 	c.shutOut()
 	if mark != nil && mark.All {
 		for s := range c.joined() {
@@ -592,19 +605,23 @@
 	} else {
 		delete(c.shut, o.EP)
 	}
+	turn := Turn{EP: o.EP, Out: o.On}
 	for s := range c.joined() {
 		holds := slices.ContainsFunc(s.binds, func(t choice.Table) bool { return c.tables[t].weight[o.EP] > 0 })
 		switch {
 		case o.On && (holds || len(s.binds) == 0):
 			s.shut[o.EP] = true
 			c.add(s, proto.Op{Kind: proto.OpWithdraw, Withdrawn: []proto.EP{proto.EP(o.EP)}}, 1)
+			turn.Proxies++
 		case !o.On && s.shut[o.EP]:
 			delete(s.shut, o.EP)
 			if holds {
 				c.add(s, proto.Op{Kind: proto.OpReadmit, Withdrawn: []proto.EP{proto.EP(o.EP)}}, 1)
+				turn.Proxies++
 			}
 		}
 	}
+	c.out.Turns = append(c.out.Turns, turn)
 }
 
 // pump sends what may leave by now.
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -446,6 +446,13 @@
 	for _, text := range o.Says {
 		out.Log(1, text)
 	}
+	for _, t := range o.Turns {
+		text := "server let in again"
+		if t.Out {
+			text = "server withdrawn"
+		}
+		out.Log(1, text, "backend", uint32(t.EP), "mark", int(t.Mark), "proxies", t.Proxies)
+	}
 	if o.Kept != nil {
 		out.Save(KeptList, o.Kept)
 	}
