--- a/cmd/gingerfork/rehearse.go
+++ b/cmd/gingerfork/rehearse.go
@@ -11,6 +11,7 @@
 	"text/tabwriter"
 
 	"gingerfork/internal/rehearse"
+	"gingerfork/internal/report"
 	"gingerfork/internal/trace"
 )
 
@@ -19,6 +20,7 @@
 	Virtual bool     `help:"In virtual time, over a network in memory: seconds instead of minutes, the same each time."`
 	JSON    bool     `help:"Print the result as JSON lines."`
 	Trace   string   `help:"Write what passed to this file, one record a line." placeholder:"FILE"`
+	Picture string   `help:"Draw the day to this PNG file: RPCs, service and orders by second, with the troubles shaded." placeholder:"FILE"`
 	Keep    string   `help:"Keep the coordinators' settings and logs in this folder." placeholder:"DIR"`
 	Search  int      `help:"Play so many random scripts of two to four troubles in virtual time, and shrink what breaks a rule." placeholder:"N"`
 	Seed    uint64   `help:"Another seed than the day's; for a search, the first." placeholder:"N"`
@@ -49,10 +51,20 @@
 				return err
 			}
 		}
+		figures, err := report.Make(r.Records, d.Limits().Methods)
+		if err != nil {
+			return fmt.Errorf("reckon the report: %w", err)
+		}
+		if c.Picture != "" {
+			if err := draw(c.Picture, d.Name, figures); err != nil {
+				return err
+			}
+		}
 		if c.JSON {
 			err = printJSON(p.out, r)
 		} else {
 			printResult(p.out, r, c.Virtual)
+			figures.Text(p.out)
 		}
 		if err != nil {
 			return err
@@ -135,6 +147,21 @@
 	return sum
 }
 
+func draw(file, title string, figures *report.Report) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("draw the day: %w", err)
+	}
+	err = figures.Draw(f, title)
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return fmt.Errorf("draw the day: %w", err)
+	}
+	return nil
+}
+
 func writeTrace(file string, records []trace.Record) error {
 	f, err := os.Create(file)
 	if err != nil {
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -50,6 +50,9 @@
 	Notice       float64 // until the list service knows that a server's process ended
 	Same, Cross  float64 // latencies within and between zones, in virtual time
 	Mix          []float64
+	ComeAgain    float64 // chance that a client whose RPC failed comes again,
+	AgainWait    float64 // after about this, doubled each time,
+	AgainMost    int     // and how often at most
 	Acts         []Act
 	lines        []bootstrap.Line // of the settings
 }
@@ -202,6 +205,8 @@
 			if d.Same, err = bootstrap.Duration(w[1]); err == nil {
 				d.Cross, err = bootstrap.Duration(w[2])
 			}
+		case "clients":
+			err = d.readClients(w[1:])
 		case "mix":
 			for _, x := range w[1:] {
 				var v float64
@@ -227,7 +232,7 @@
 			}
 		default:
 			known := []string{"day", "settings", "length", "seed", "coordinators", "line-still", "connect-timeout", "keep-away",
-				"notice", "latency", "mix", "servers", "frontends", "at"}
+				"notice", "latency", "clients", "mix", "servers", "frontends", "at"}
 			err = fmt.Errorf("%s is no word of a day%s", w[0], like(w[0], known))
 		}
 		if err != nil {
@@ -304,6 +309,24 @@
 	return nil
 }
 
+// readClients reads: clients again SHARE after TIME at-most N.
+func (d *Day) readClients(w []string) error {
+	d.AgainWait, d.AgainMost = 0.1, 2
+	return pairs(w, func(name, v string) (err error) {
+		switch name {
+		case "again":
+			d.ComeAgain, err = bootstrap.Share(v)
+		case "after":
+			d.AgainWait, err = bootstrap.Duration(v)
+		case "at-most":
+			d.AgainMost, err = bootstrap.Whole(v, 1, 100)
+		default:
+			err = fmt.Errorf("unknown%s", like(name, []string{"again", "after", "at-most"}))
+		}
+		return err
+	})
+}
+
 func readServers(w []string) (g ServerGroup, err error) {
 	g = ServerGroup{Kind: "std", Workers: 2, Queue: 30, Weight: 1, Capacity: 20, GiveUp: emulator.SkipsWait}
 	if len(w) < 2 {
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -132,7 +132,7 @@
 	return standin.NewFrontEnd(standin.FrontTrade{Name: a.name, Zone: a.zone, Coordinators: order, Methods: c.day.methods(),
 		Rate: a.rate, Pick: b.Word("pick"), Strikes: int(b.Num("strikes", 0)), KeepAway: c.day.KeepAway, TryWait: b.Num("try_wait", 0.8),
 		LineStill: c.day.LineStill, LevelRate: b.Word("level_kind") == "rate", Period: b.Num("report_period", 1),
-		ConnectTimeout: c.day.Connect, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives)})
+		ConnectTimeout: c.day.Connect, ComeAgain: c.day.ComeAgain, AgainWait: c.day.AgainWait, AgainMost: c.day.AgainMost, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives)})
 }
 
 // store is what servers share for tokens, as the settings' groups allow.
@@ -256,7 +256,6 @@
 		}
 		text += w
 	}
-	c.record(trace.Record{T: c.stage.Now(), Kind: trace.Trouble, Text: text})
 	var hit []*actor
 	switch a.Of {
 	case "servers":
@@ -268,6 +267,7 @@
 	case "zone":
 		hit = c.pick(c.servers, a.Pick)
 	}
+	c.record(trace.Record{T: c.stage.Now(), Kind: trace.Trouble, Text: text, X: c.lasts(a, len(hit))})
 	in := map[string]bool{}
 	for _, x := range hit {
 		in[x.name] = true
@@ -338,6 +338,32 @@
 	}
 }
 
+// lasts tells how long an act's trouble lasts, in seconds.
+func (c *cast) lasts(a Act, hit int) machine.Seconds {
+	rest := c.day.Length - a.At
+	switch {
+	case a.For > 0:
+		return min(a.For, rest)
+	case a.Verb == "break":
+		return 0
+	case a.Verb == "deploy":
+		drain, down, every := a.deploy()
+		return min(float64(max(hit-1, 0))*every+drain+down, rest)
+	}
+	return rest
+}
+
+// deploy is how a deploy goes: how long servers drain, how long each is down, and when the next one's turn is.
+func (a Act) deploy() (drain, down, every machine.Seconds) {
+	value := func(name string, def float64) float64 {
+		if v, ok := a.More[name]; ok {
+			return v
+		}
+		return def
+	}
+	return value("drain", 3), value("down", 1), value("every", 1)
+}
+
 // fall ends a process; where the list service is to know, it does after the day's notice.
 func (c *cast) fall(x *actor, listed bool) {
 	c.kill(x)
@@ -414,13 +440,7 @@
 
 // deploy takes servers out one after another, with a drain announced, and brings them back cold.
 func (c *cast) deploy(a Act, hit []*actor) {
-	value := func(name string, def float64) float64 {
-		if v, ok := a.More[name]; ok {
-			return v
-		}
-		return def
-	}
-	drain, down, every := value("drain", 3), value("down", 1), value("every", 1)
+	drain, down, every := a.deploy()
 	for i, x := range hit {
 		c.after(float64(i)*every, func() {
 			if !x.up {
--- a/internal/standin/frontend.go
+++ b/internal/standin/frontend.go
@@ -61,6 +61,11 @@
 	Period         machine.Seconds
 	ConnectTimeout machine.Seconds
 	Seed           uint64
+	// Clients whose RPC failed come again, with this chance, after about so long, at most so many times: idempotent and
+	// tokened RPCs after any failure, others only after a push back, which proves that they never ran.
+	ComeAgain float64
+	AgainWait machine.Seconds
+	AgainMost int
 }
 
 // FrontEnd follows the tables of one coordinator, and sends the RPCs that come to it to servers.
@@ -158,6 +163,7 @@
 	n      int
 	tried  []proto.EP
 	done   bool
+	came   int // times that its client came before
 }
 
 // NewFrontEnd makes one.
@@ -473,6 +479,11 @@
 	if f.trade.Methods[r.method].Effect == Tokened {
 		r.token = r.id
 	}
+	f.begin(now, r)
+}
+
+// begin lets an RPC in, or not, and sends it.
+func (f *FrontEnd) begin(now machine.Seconds, r *rpc) {
 	f.rpcs[r.id] = r
 	f.usage[r.method].RPCs++
 	if !f.admit(now, r.method) {
@@ -713,6 +724,20 @@
 	}
 	f.out.Record(trace.Record{T: now, Kind: trace.End, Who: f.trade.Name, RPC: r.id, Method: r.method, Text: status.String(),
 		X: now - r.asked})
+	f.comeAgain(now, r, status)
+}
+
+// comeAgain has the client of an RPC that failed ask once more, as a new RPC with the token of the first.
+func (f *FrontEnd) comeAgain(now machine.Seconds, r *rpc, status proto.Status) {
+	safe := f.trade.Methods[r.method].Effect != NonIdempotent || status == proto.PushedBack
+	if status == proto.OK || !safe || r.came >= f.trade.AgainMost || f.dice.Draw() >= f.trade.ComeAgain {
+		return
+	}
+	wait := f.trade.AgainWait * float64(int(1)<<min(r.came, 10)) * (0.5 + f.dice.Draw())
+	f.timers.at(now+wait, func(now machine.Seconds) {
+		f.count++
+		f.begin(now, &rpc{id: r.id>>32<<32 | f.count, method: r.method, asked: now, token: r.token, came: r.came + 1})
+	})
 }
 
 // server takes what comes from a server.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -172,6 +172,29 @@
 	}
 }
 
+// Clients whose RPC failed come again as told: others than idempotent ones only after proof that theirs never ran.
+func TestClientsComeAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect Effect
+		first  emulator.Trade
+		again  bool
+	}{
+		"idempotent, hangs":      {Idempotent, server(1, 0.001, 100000, 9), true},
+		"non-idempotent, hangs":  {NonIdempotent, server(1, 0.001, 100000, 9), false},
+		"non-idempotent, pushed": {NonIdempotent, server(1, 1, 0, 0), true},
+	} {
+		methods := []MethodTrade{{Name: "m", Effect: c.effect, Criticality: 1, SoftDeadline: 0.3, Deadline: 0.5, Share: 1}}
+		trade := FrontTrade{Rate: 10, Pick: "even", Methods: methods, ComeAgain: 1, AgainWait: 0.1, AgainMost: 2}
+		_, ends, _ := play(t, 30, trade, bind(nil, 1), c.first)
+		trade.ComeAgain = 0
+		_, once, _ := play(t, 30, trade, bind(nil, 1), c.first)
+		all, alone := float64(ends["aborted"]+ends["pushed back"]), float64(once["aborted"]+once["pushed back"])
+		if part := all / alone; c.again && (part < 2.7 || part > 3.3) || !c.again && (part < 0.8 || part > 1.25) {
+			t.Errorf("%s: %.0f RPCs failed, %.0f where nobody comes again", name, all, alone)
+		}
+	}
+}
+
 func TestColdServerFallsOver(t *testing.T) {
 	for _, c := range []struct {
 		rate  float64
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -31,7 +31,7 @@
 	Cut     = "cut"     // Who: proxy or list service, Of: coordinator: nothing passes between them
 	Heal    = "heal"    // Who: proxy or list service, Of: coordinator: it does again
 	Stall   = "stall"   // Who: a coordinator or proxy that does not run, X: for so many seconds
-	Trouble = "trouble" // Text: what the script did
+	Trouble = "trouble" // Text: what the script did, X: for how many seconds
 	Offer   = "offer"   // EP, X: capacity at present, N: RPCs that came in the window (when near its bound)
 )
 
