A sole server that was only deaf for a while stays in use

Change: cold, for that guard, is by the start that the list tells. The checker knows that an emptied list comes through when a cut heals (its own false find).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -582,8 +582,14 @@
 	if c.shut[i] {
 		most /= 2 // else it would come and go
 	}
-	return c.ease[i] < 1 && c.gate.best > 0 && c.brought[i] > most &&
-		c.open(func(k int) float64 { return math.Floor(c.ease[k]) }) == 0
+	// What counts is the start that the list tells: a server that was only deaf for a while is owed to rule 1.
+	young := func(k int) bool { return c.start[k] > 0 && c.now < c.start[k]+c.boot.Num("warm_after", 10) }
+	return young(i) && c.gate.best > 0 && c.brought[i] > most && c.open(func(k int) float64 {
+		if young(k) {
+			return 0
+		}
+		return 1
+	}) == 0
 }
 
 // spareCold withdraws such servers: who is left without a line goes without, which beats a server that is
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -849,6 +849,17 @@
 	}
 }
 
+// A server that returned from deafness climbs as a cold one, but by the list it is warm: alone, it must not be withdrawn,
+// or its proxies have nothing. Found by a search over random days (seed 110727).
+func TestSoleServerBackFromDeafnessStays(t *testing.T) {
+	w, _ := busy(t)
+	w.c.back[0] = w.now
+	w.step(1.1, Listed{Kind: ListFull, Entries: []Entry{{EP: 1, State: Open, Zone: "a", Weight: 1}}})
+	if w.c.ease[0] >= 1 || w.shut[1] {
+		t.Fatalf("ease %v, withdrawn %v", w.c.ease[0], w.shut[1])
+	}
+}
+
 // A list that shrinks to one cold server: it is withdrawn while it would topple, and back once it is warm. With warm
 // ones beside it, or little usage, it stays in use. Found by a search over random days.
 func TestSoleColdServerIsSpared(t *testing.T) {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -525,6 +525,9 @@
 	if r.T-x.off > c.l.ListSilence-1.5 {
 		// Or it just lived on: then the next news comes without a call, and these came before it.
 		x.behind, x.asked, x.perhaps, x.wait = true, max(x.asked, r.T), map[uint32]bool{}, wait
+		if len(wait) > 0 {
+			x.ready, x.ripe = math.Inf(1), math.Inf(1) // what it lists is not known until then
+		}
 		for _, w := range wait {
 			for _, e := range strings.Fields(w.Text) {
 				id, _, _ := strings.Cut(e, ":")
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -70,6 +70,7 @@
 		"and then did not act":        {3, begin(trace.Record{T: 1.5, Kind: trace.Stall, Who: "c0", X: 3}, news(2, "changes 1:d:0:a"), send(6.6, 1, 7, 0, ""))},
 		"told after a short cut":      {3, begin(link(2, trace.Cut, "list"), news(2.1, "changes 1:d:0:a"), link(4, trace.Heal, "list"), send(6.1, 1, 7, 0, ""))},
 		"not told in a cut":           {0, begin(link(2, trace.Cut, "list"), news(2.1, "changes 1:d:0:a"), send(9, 1, 7, 0, ""))},
+		"emptied in a long cut":       {0, begin(link(2, trace.Cut, "list"), news(3, "full "), link(6.5, trace.Heal, "list"), apply(6.6, "withdraw 1;withdraw 2"), end(11))},
 		"never asks after a cut": {3, begin(link(2, trace.Cut, "list"), trace.Record{T: 3, Kind: trace.List, N: 2, Text: "changes 2:d:0:a"}, link(12, trace.Heal, "list"),
 			send(23, 2, 7, 0, ""))},
 		"fell, knowingly": {4, begin(trace.Record{T: 2, Kind: trace.Start, EP: 1, X: 5}, news(2, "changes 1:o:2:a"), apply(3, "line 0 1:1"), send(5, 1, 7, 0, ""), send(5, 1, 8, 0, ""),
