--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -125,7 +125,6 @@
 	weight    map[choice.EP]float64
 	levels    []proto.Level
 	followers []*stream
-	methods   uint64
 }
 
 // member is a proxy's number. It is given to another once the module has forgotten what it knew of it.
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -74,7 +74,7 @@
 `
 
 // Start brings a fleet up: serve is the command that runs a coordinator with a settings file added. rate is RPCs a
-// second of each front end; with 0 servers of the list are only names.
+// second of each front end; at 0 the list's servers are only names, and none is run.
 func Start(ctx context.Context, serve []string, servers, fronts int, rate float64) (f *Fleet, err error) {
 	f = &Fleet{clock: loop.NewClock(), ended: make(chan struct{})}
 	defer func() {
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -139,6 +139,9 @@
 	return all
 }
 
+// single are the words that take one value.
+var single = []string{"day", "settings", "length", "seed", "coordinators", "line-still", "connect-timeout", "keep-away", "notice"}
+
 // Settings gives the text of the settings file that a day names.
 type Settings func(name string) ([]byte, error)
 
@@ -150,23 +153,17 @@
 	for _, l := range lines {
 		w := l.Words
 		var err error
+		if slices.Contains(single, w[0]) && len(w) != 2 {
+			fault(l, "%s takes one value, has %d", w[0], len(w)-1)
+			continue
+		}
 		time := func(into *float64) {
-			if len(w) != 2 {
-				err = fmt.Errorf("%s takes one time", w[0])
-				return
-			}
 			*into, err = bootstrap.Duration(w[1])
 		}
 		switch w[0] {
 		case "day":
-			if d.Name = strings.Join(w[1:], " "); len(w) != 2 {
-				err = fmt.Errorf("day takes one name")
-			}
+			d.Name = w[1]
 		case "settings":
-			if len(w) != 2 {
-				err = fmt.Errorf("settings takes one file")
-				break
-			}
 			d.Settings = w[1]
 			var data []byte
 			if data, err = settings(w[1]); err == nil {
@@ -178,16 +175,8 @@
 		case "length":
 			time(&d.Length)
 		case "seed":
-			if len(w) != 2 {
-				err = fmt.Errorf("seed takes one number")
-				break
-			}
 			d.Seed, err = strconv.ParseUint(w[1], 10, 63)
 		case "coordinators":
-			if len(w) != 2 {
-				err = fmt.Errorf("coordinators takes one number")
-				break
-			}
 			d.Coordinators, err = bootstrap.Whole(w[1], 1, 100)
 		case "line-still":
 			time(&d.LineStill)
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -262,6 +262,7 @@
 		"at 5s slow servers 1":                 "slow needs by and a factor",
 		"at 5s stale list":                     "stale needs for and a time",
 		"at 5s kill servers number x":          `"x" is no whole number`,
+		"seed":                                 "seed takes one value, has 0",
 		"servrs 3":                             "servrs is no word of a day (did you mean servers?)",
 		"servers 3 capcity 5":                  "capcity: unknown (did you mean capacity?)",
 		"mix 50%":                              "mix has 1 shares, the settings have 2 methods",
--- a/internal/standin/frontend.go
+++ b/internal/standin/frontend.go
@@ -112,7 +112,6 @@
 type sheet struct {
 	lines  []row // by server
 	levels map[int]level
-	turn   float64
 }
 
 type row struct {
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -26,22 +26,21 @@
 
 // World is the network and all that is on it.
 type World struct {
-	now     machine.Seconds
-	dice    *rand.Rand
-	count   uint64
-	events  queue
-	nodes   map[string]*node
-	order   []*node
-	doors   map[string]door
-	links   []rule
-	same    machine.Seconds // latency within a zone
-	cross   machine.Seconds // and between zones
-	Trace   func(trace.Record)
-	Log     func(t machine.Seconds, node string, n machine.Note)
-	Fails   []string // of machines that failed
-	Steps   int
-	Bytes   int
-	longest int
+	now    machine.Seconds
+	dice   *rand.Rand
+	count  uint64
+	events queue
+	nodes  map[string]*node
+	order  []*node
+	doors  map[string]door
+	links  []rule
+	same   machine.Seconds // latency within a zone
+	cross  machine.Seconds // and between zones
+	Trace  func(trace.Record)
+	Log    func(t machine.Seconds, node string, n machine.Note)
+	Fails  []string // of machines that failed
+	Steps  int
+	Bytes  int
 }
 
 type door struct {
