--- a/cmd/gingerfork/rehearse.go
+++ b/cmd/gingerfork/rehearse.go
@@ -22,6 +22,8 @@
 	Trace   string   `help:"Write what passed to this file, one record a line." placeholder:"FILE"`
 	Picture string   `help:"Draw the day to this PNG file: RPCs, service and orders by second, with the troubles shaded." placeholder:"FILE"`
 	Keep    string   `help:"Keep the coordinators' settings and logs in this folder." placeholder:"DIR"`
+	Beside  bool     `help:"Play each day in virtual time in three ways on the same seed, beside the most that was possible."`
+	Scale   float64  `help:"Play with so many times the servers and front ends." default:"1" placeholder:"X"`
 	Search  int      `help:"Play so many random scripts of two to four troubles in virtual time, and shrink what breaks a rule." placeholder:"N"`
 	Seed    uint64   `help:"Another seed than the day's; for a search, the first." placeholder:"N"`
 }
@@ -33,15 +35,19 @@
 	if len(c.Days) == 0 {
 		c.Days = []string{"evening"}
 	}
+	if len(c.Days) == 1 && c.Days[0] == "incidents" {
+		c.Days = rehearse.Incidents()
+	}
+	if c.Beside {
+		return c.beside(ctx, p)
+	}
 	broken := []string{}
 	for _, name := range c.Days {
 		d, err := readDay(name)
 		if err != nil {
 			return badError{err}
 		}
-		if c.Seed > 0 {
-			d.Seed = c.Seed
-		}
+		c.alter(d)
 		r, err := c.play(ctx, p, d)
 		if err != nil {
 			return err
@@ -82,6 +88,66 @@
 	return nil
 }
 
+// alter makes of a day what the flags say.
+func (c rehearseCmd) alter(d *rehearse.Day) {
+	if c.Seed > 0 {
+		d.Seed = c.Seed
+	}
+	if c.Scale != 1 && c.Scale > 0 {
+		d.Scale(c.Scale)
+	}
+}
+
+// beside prints a line for each day: its service in each way, the bound, and what broke.
+func (c rehearseCmd) beside(ctx context.Context, p *program) error {
+	var days []*rehearse.Day
+	for _, name := range c.Days {
+		d, err := readDay(name)
+		if err != nil {
+			return badError{err}
+		}
+		c.alter(d)
+		days = append(days, d)
+	}
+	bad := 0
+	if !c.JSON {
+		fmt.Fprintf(p.out, "%-28s %11s %11s %11s %11s  %s\n", "day", "coordinator", "all servers", "frozen", "bound", "rules broken (coordinator; all servers; frozen)")
+	}
+	err := rehearse.Compare(ctx, days, func(v rehearse.Versus) error {
+		var broke []string
+		for w, r := range v.Ways {
+			var rules []string
+			for _, x := range r.Report.Rules {
+				if x.Broken > 0 {
+					rules = append(rules, fmt.Sprint(x.Rule))
+				}
+			}
+			if len(rules) == 0 {
+				rules = []string{"none"}
+			} else if w == 0 {
+				bad++
+			}
+			bad += len(r.Fails)
+			broke = append(broke, strings.Join(rules, ","))
+		}
+		if c.JSON {
+			return json.NewEncoder(p.out).Encode(map[string]any{"day": v.Day.Name, "seed": v.Day.Seed, "coordinator": v.Ways[0].Report.Service.Share(),
+				"all_servers": v.Ways[1].Report.Service.Share(), "frozen": v.Ways[2].Report.Service.Share(), "bound": v.Bound.Share(),
+				"rules_broken": broke, "rpcs": v.Ways[0].Report.Service.RPCs, "messages": v.Ways[0].Report.Pushes, "lines": v.Ways[0].Report.Lines})
+		}
+		fmt.Fprintf(p.out, "%-28s %11.3f %11.3f %11.3f %11.3f  %s\n", v.Day.Name, v.Ways[0].Report.Service.Share(), v.Ways[1].Report.Service.Share(),
+			v.Ways[2].Report.Service.Share(), v.Bound.Share(), strings.Join(broke, "; "))
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if bad > 0 {
+		return badError{errors.New("the coordinator broke a rule, or a machine failed")}
+	}
+	return nil
+}
+
 func (c rehearseCmd) search(ctx context.Context, p *program) error {
 	n := 0
 	err := rehearse.Search(ctx, max(c.Seed, 1), c.Search, func(f rehearse.Found) {
--- a/internal/emulator/model.go
+++ b/internal/emulator/model.go
@@ -54,8 +54,11 @@
 	Connections  int     // 0: any number
 	ConnWork     Seconds // that a new connection costs
 	ProbeWork    Seconds
-	ProbesMost   int // at once; 0: any number
-	Keys         int // that it remembers; 0: none
+	ProbesMost   int     // at once; 0: any number
+	Reports      bool    // it reports its load with each answer,
+	ReportLate   Seconds // as it was so long ago,
+	ReportNoise  float64 // off by a factor of this coefficient of variation
+	Keys         int     // that it remembers; 0: none
 	KeySaves     float64
 	Seed         uint64
 	Store        *Store
@@ -83,6 +86,7 @@
 		To     Caller
 		ID     uint64
 		Status Status
+		Load   float64 // reported; below 0: nothing is
 	}
 	// Ran: an RPC's effect began to take place.
 	Ran struct{ RPC RPC }
@@ -119,6 +123,7 @@
 	worst   float64
 	probes  int
 	memory  memory
+	loads   []loadAt // while reports are late: what it was, oldest first
 	out     []Effect
 
 	fallen   bool
@@ -134,6 +139,11 @@
 	most     int // connections, by a trouble; 0: as the trade says
 }
 
+type loadAt struct {
+	at   Seconds
+	load float64
+}
+
 type arrival struct {
 	at   Seconds
 	work Seconds
@@ -375,7 +385,7 @@
 
 func (m *Model) answer(c Caller, id uint64, s Status) {
 	if m.callers[c] != nil {
-		m.tell(Reply{c, id, s})
+		m.tell(Reply{c, id, s, m.report()})
 	}
 }
 
@@ -472,6 +482,47 @@
 	})
 }
 
+// report is the load as it is reported with an answer: late, and not quite true.
+func (m *Model) report() float64 {
+	if !m.t.Reports {
+		return -1
+	}
+	load := m.underWay()
+	if m.t.ReportLate > 0 {
+		m.loads = append(m.loads, loadAt{m.now, load})
+		then := m.now - m.t.ReportLate
+		for len(m.loads) > 1 && m.loads[1].at <= then {
+			m.loads = m.loads[1:]
+		}
+		load = 0 // before it had anything to report
+		if m.loads[0].at <= then {
+			load = m.loads[0].load
+		}
+	}
+	if cv := m.t.ReportNoise; cv > 0 {
+		s2 := math.Log(1 + cv*cv)
+		load *= math.Exp(math.Sqrt(s2)*m.dice.normal() - s2/2)
+	}
+	return load
+}
+
+func (m *Model) underWay() float64 {
+	return float64(len(m.running)+len(m.queue)) / float64(m.t.Cores)
+}
+
+// Able is the RPCs a second of a method that it could do at present, all work of its troubles counted; callers that are
+// refused or hear nothing are not its matter.
+func (m *Model) Able(method int) float64 {
+	if m.fallen || m.hung > 0 || m.fast || m.method == method {
+		return 0
+	}
+	mean := m.t.work(method).Mean
+	if m.dear > 0 {
+		mean *= 0.9 + 0.1*m.dear
+	}
+	return float64(m.t.Cores) * m.t.Speed * m.Warmth(m.now) / m.slow / mean * (1 - m.part)
+}
+
 // Load is what a load report says: RPCs under way, waiting, and the share of its cores that are busy.
 func (m *Model) Load() (underWay, waiting int, busy float64) {
 	return len(m.running) + len(m.queue), len(m.queue), float64(len(m.running)) / float64(m.t.Cores)
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -80,17 +80,34 @@
 		case proto.Probe:
 			s.model.Probe(Caller(c), m.ID)
 		case proto.RPC:
-			s.model.Ask(Caller(c), RPC{ID: m.ID, Method: int(m.Method), Token: m.Token, Left: m.Left})
+			s.model.Ask(Caller(c), RPC{ID: m.ID, Method: int(m.Method), Token: m.Token, Key: m.Key, Left: m.Left})
 		}
 	}
 }
 
+// Able tells what it could do at present of a method, RPCs a second; Load how many RPCs are under way and waiting, and the
+// share of its cores that are busy. Whoever watches a rehearsal asks; nobody who takes part in it does.
+func (s *Server) Able(method int) float64 {
+	if s.model == nil {
+		return 0
+	}
+	return s.model.Able(method)
+}
+
+// Load is Model's.
+func (s *Server) Load() (underWay, waiting int, busy float64) {
+	if s.model == nil {
+		return 0, 0, 0
+	}
+	return s.model.Load()
+}
+
 // do carries out what the model did.
 func (s *Server) do(now machine.Seconds, effects []Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case Reply:
-			s.write(machine.Conn(e.To), proto.Reply{ID: e.ID, Status: proto.Status(e.Status)})
+			s.write(machine.Conn(e.To), proto.Reply{ID: e.ID, Status: proto.Status(e.Status), Reports: e.Load >= 0, Load: max(0, e.Load)})
 		case Probed:
 			s.write(machine.Conn(e.To), proto.ProbeReply{ID: e.ID, Status: proto.Status(e.Status)})
 		case Ran:
--- a/internal/emulator/work.go
+++ b/internal/emulator/work.go
@@ -97,6 +97,24 @@
 	return d.r.ExpFloat64() * w.Mean
 }
 
+// Within is the chance that an RPC's work is no more than some.
+func (w Work) Within(most Seconds) float64 {
+	switch w.Shape {
+	case Fixed:
+		if w.Mean <= most {
+			return 1
+		}
+		return 0
+	case Lognormal:
+		s2 := math.Log(1 + w.Param*w.Param)
+		return 0.5 * math.Erfc(-(math.Log(most/w.Mean)+s2/2)/math.Sqrt(2*s2))
+	case Pareto:
+		least := w.Mean * (w.Param - 1) / w.Param
+		return 1 - math.Pow(min(1, least/most), w.Param)
+	}
+	return 1 - math.Exp(-most/w.Mean)
+}
+
 // Square is the mean of the work's square, which the wait in a queue goes by.
 func (w Work) Square() float64 {
 	switch w.Shape {
--- a/internal/proto/messages.go
+++ b/internal/proto/messages.go
@@ -165,12 +165,16 @@
 		ID     uint64
 		Method uint64
 		Token  uint64  // 0: none
+		Key    uint64  // what it is about, 0: nothing that a server remembers
 		Left   float64 // seconds until the client gives up
 	}
-	// Reply ends a try.
+	// Reply ends a try. Load is the server's report, if it makes any: RPCs under way and waiting there for each of its
+	// cores, as it knows them.
 	Reply struct {
-		ID     uint64
-		Status Status
+		ID      uint64
+		Status  Status
+		Reports bool
+		Load    float64
 	}
 	// Probe asks whether a server answers.
 	Probe struct{ ID uint64 }
@@ -245,8 +249,10 @@
 	tList: func(d *decoder) Message {
 		return List{ListKind(d.upTo(uint64(listKinds-1), "kind")), d.whole(), d.whole(), d.word(), items(d, 21, getEntry)}
 	},
-	tRPC:   func(d *decoder) Message { return RPC{d.whole(), d.whole(), d.whole(), d.num()} },
-	tReply: func(d *decoder) Message { return Reply{d.whole(), Status(d.upTo(uint64(statuses-1), "status"))} },
+	tRPC: func(d *decoder) Message { return RPC{d.whole(), d.whole(), d.whole(), d.whole(), d.num()} },
+	tReply: func(d *decoder) Message {
+		return Reply{d.whole(), Status(d.upTo(uint64(statuses-1), "status")), d.flag(), d.num()}
+	},
 	tProbe: func(d *decoder) Message { return Probe{d.whole()} },
 	tProbeReply: func(d *decoder) Message {
 		return ProbeReply{d.whole(), Status(d.upTo(uint64(statuses-1), "status"))}
@@ -355,9 +361,11 @@
 }
 
 func (m RPC) put(b []byte) []byte {
-	return num(whole(whole(whole(b, m.ID), m.Method), m.Token), m.Left)
+	return num(whole(whole(whole(whole(b, m.ID), m.Method), m.Token), m.Key), m.Left)
+}
+func (m Reply) put(b []byte) []byte {
+	return num(flag(append(whole(b, m.ID), byte(m.Status)), m.Reports), m.Load)
 }
-func (m Reply) put(b []byte) []byte      { return append(whole(b, m.ID), byte(m.Status)) }
 func (m Probe) put(b []byte) []byte      { return whole(b, m.ID) }
 func (m ProbeReply) put(b []byte) []byte { return append(whole(b, m.ID), byte(m.Status)) }
 func (m PeerNote) put(b []byte) []byte {
--- a/internal/proto/proto_test.go
+++ b/internal/proto/proto_test.go
@@ -69,9 +69,9 @@
 					words.Draw(t, "zone"), 3, nums.Draw(t, "w"), rapid.Bool().Draw(t, "old"), rapid.Uint64().Draw(t, "stamp"), nums.Draw(t, "age"), words.Draw(t, "addr")}
 			}))}
 		case int(tRPC):
-			return RPC{u(), u(), u(), n()}
+			return RPC{u(), u(), u(), u(), n()}
 		case int(tReply):
-			return Reply{u(), status}
+			return Reply{u(), status, flag, n()}
 		case int(tProbe):
 			return Probe{u()}
 		case int(tProbeReply):
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -5,6 +5,7 @@
 import (
 	"embed"
 	"fmt"
+	"math"
 	"path"
 	"slices"
 	"strconv"
@@ -15,14 +16,22 @@
 	"gingerfork/internal/emulator"
 	"gingerfork/internal/rules"
 	"gingerfork/internal/standin"
+	"gingerfork/internal/traffic"
 )
 
-//go:embed days
+//go:embed days incidents
 var shipped embed.FS
 
 // Shipped gives the names of the days that come with the program.
 func Shipped() (all []string) {
-	entries, _ := shipped.ReadDir("days")
+	return within("days")
+}
+
+// Incidents gives the names of the incidents that come with the program: larger days, each of a few troubles at once.
+func Incidents() []string { return within("incidents") }
+
+func within(dir string) (all []string) {
+	entries, _ := shipped.ReadDir(dir)
 	for _, e := range entries {
 		if name, ok := strings.CutSuffix(e.Name(), ".day"); ok {
 			all = append(all, name)
@@ -32,7 +41,29 @@
 }
 
 // File gives a shipped file's text; days name their settings so.
-func File(name string) ([]byte, error) { return shipped.ReadFile(path.Join("days", name)) }
+func File(name string) ([]byte, error) {
+	data, err := shipped.ReadFile(path.Join("days", name))
+	if err != nil {
+		data, err = shipped.ReadFile(path.Join("incidents", name))
+	}
+	return data, err
+}
+
+// Scale changes the fleet's size, servers and front ends alike; each group keeps one at least. A deploy takes as long.
+func (d *Day) Scale(by float64) {
+	for i := range d.Servers {
+		d.Servers[i].N = max(1, int(float64(d.Servers[i].N)*by+0.5))
+	}
+	for i := range d.Fronts {
+		d.Fronts[i].N = max(1, int(float64(d.Fronts[i].N)*by+0.5))
+	}
+	for i := range d.Acts {
+		d.Acts[i].Pick.N = int(math.Ceil(float64(d.Acts[i].Pick.N) * by))
+		if every, has := d.Acts[i].More["every"]; has {
+			d.Acts[i].More["every"] = every / by
+		}
+	}
+}
 
 // Day is a script that was read.
 type Day struct {
@@ -53,6 +84,9 @@
 	ComeAgain    float64 // chance that a client whose RPC failed comes again,
 	AgainWait    float64 // after about this, doubled each time,
 	AgainMost    int     // and how often at most
+	Shape        traffic.Shape
+	Keys         *traffic.Zipf
+	Tokens       emulator.Group // who shares what it knows of tokens
 	Acts         []Act
 	lines        []bootstrap.Line // of the settings
 }
@@ -68,13 +102,22 @@
 	Weight   float64
 	Work     emulator.Work
 	GiveUp   emulator.GiveUp
+	Cell     int
+	Conns    int
+	Reports  bool
+	Late     float64 // reports
+	Noise    float64
+	Memory   int // keys
+	Saves    float64
 }
 
 // FrontGroup is so many equal front ends.
 type FrontGroup struct {
-	N    int
-	Zone string
-	Rate float64
+	N      int
+	Zone   string
+	Rate   float64
+	Uneven float64 // coefficient of variation of their rates
+	Pick   string  // "": as the settings say
 }
 
 // Act is a line of the script: what happens when, to whom, for how long.
@@ -86,6 +129,7 @@
 	Pick Pick
 	By   string
 	For  float64 // 0: for good
+	With string  // how a flap goes down
 	More map[string]float64
 }
 
@@ -104,30 +148,31 @@
 	of []string
 	by string // "": none, else what it is
 }{
-	"kill":   {[]string{"servers", "frontends", "coordinators"}, ""},
-	"vanish": {[]string{"servers"}, ""},
-	"stall":  {[]string{"frontends", "coordinators"}, ""},
-	"hang":   {[]string{"servers"}, ""},
-	"fast":   {[]string{"servers"}, ""},
-	"part":   {[]string{"servers"}, "share"},
-	"method": {[]string{"servers"}, "method"},
-	"from":   {[]string{"servers"}, "coordinator"},
-	"slow":   {[]string{"servers", "streams"}, "factor"},
-	"dear":   {[]string{"servers"}, "factor"},
-	"shake":  {[]string{"servers"}, "time"},
-	"conns":  {[]string{"servers"}, "whole"},
-	"pauses": {[]string{"servers"}, "time"},
-	"flap":   {[]string{"servers"}, "time"},
-	"deploy": {[]string{"servers"}, ""},
-	"break":  {[]string{"streams"}, ""},
-	"late":   {[]string{"list", "streams"}, "time"},
-	"stale":  {[]string{"list"}, ""},
-	"empty":  {[]string{"list"}, ""},
-	"one":    {[]string{"list"}, ""},
-	"fail":   {[]string{"list"}, ""},
-	"cut":    {[]string{"zone", "servers", "list"}, ""},
-	"lose":   {[]string{"zone"}, ""},
-	"load":   {[]string{"frontends"}, "share"},
+	"kill":    {[]string{"servers", "frontends", "coordinators"}, ""},
+	"vanish":  {[]string{"servers"}, ""},
+	"silence": {[]string{"servers"}, ""},
+	"stall":   {[]string{"frontends", "coordinators"}, ""},
+	"hang":    {[]string{"servers"}, ""},
+	"fast":    {[]string{"servers"}, ""},
+	"part":    {[]string{"servers"}, "share"},
+	"method":  {[]string{"servers"}, "method"},
+	"from":    {[]string{"servers"}, "coordinator"},
+	"slow":    {[]string{"servers", "streams"}, "factor"},
+	"dear":    {[]string{"servers"}, "factor"},
+	"shake":   {[]string{"servers"}, "time"},
+	"conns":   {[]string{"servers"}, "whole"},
+	"pauses":  {[]string{"servers"}, "time"},
+	"flap":    {[]string{"servers"}, "time"},
+	"deploy":  {[]string{"servers"}, ""},
+	"break":   {[]string{"streams"}, ""},
+	"late":    {[]string{"list", "streams"}, "time"},
+	"stale":   {[]string{"list"}, ""},
+	"empty":   {[]string{"list"}, ""},
+	"one":     {[]string{"list"}, ""},
+	"fail":    {[]string{"list"}, ""},
+	"cut":     {[]string{"zone", "servers", "list"}, ""},
+	"lose":    {[]string{"zone"}, ""},
+	"load":    {[]string{"frontends"}, "share"},
 }
 
 // Words gives the verbs, for messages and documentation.
@@ -140,7 +185,7 @@
 }
 
 // single are the words that take one value.
-var single = []string{"day", "settings", "length", "seed", "coordinators", "line-still", "connect-timeout", "keep-away", "notice"}
+var single = []string{"day", "settings", "length", "seed", "coordinators", "line-still", "connect-timeout", "keep-away", "notice", "tokens"}
 
 // Settings gives the text of the settings file that a day names.
 type Settings func(name string) ([]byte, error)
@@ -194,6 +239,13 @@
 			if d.Same, err = bootstrap.Duration(w[1]); err == nil {
 				d.Cross, err = bootstrap.Duration(w[2])
 			}
+		case "traffic":
+			err = d.readTraffic(w[1:])
+		case "tokens":
+			how, known := map[string]emulator.Group{"all": emulator.All, "zone": emulator.ByZone, "cell": emulator.ByCell, "server": emulator.Each}[w[1]]
+			if d.Tokens = how; !known {
+				err = fmt.Errorf("%q is none of all, zone, cell, server", w[1])
+			}
 		case "clients":
 			err = d.readClients(w[1:])
 		case "mix":
@@ -221,7 +273,7 @@
 			}
 		default:
 			known := []string{"day", "settings", "length", "seed", "coordinators", "line-still", "connect-timeout", "keep-away",
-				"notice", "latency", "clients", "mix", "servers", "frontends", "at"}
+				"notice", "latency", "traffic", "tokens", "clients", "mix", "servers", "frontends", "at"}
 			err = fmt.Errorf("%s is no word of a day%s", w[0], like(w[0], known))
 		}
 		if err != nil {
@@ -316,6 +368,42 @@
 	})
 }
 
+// readTraffic reads: traffic wave SHARE over TIME bursts SHARE every TIME lasting TIME keys N zipf X.
+func (d *Day) readTraffic(w []string) error {
+	keys, exponent := 0, 1.0
+	err := pairs(w, func(name, v string) (err error) {
+		switch name {
+		case "wave":
+			d.Shape.Swing, err = bootstrap.Share(v)
+		case "over":
+			d.Shape.Day, err = bootstrap.Duration(v)
+		case "bursts":
+			d.Shape.Height, err = load(v)
+		case "every":
+			d.Shape.Every, err = bootstrap.Duration(v)
+		case "lasting":
+			d.Shape.Lasts, err = bootstrap.Duration(v)
+		case "keys":
+			keys, err = bootstrap.Whole(v, 1, 1e6)
+		case "zipf":
+			exponent, err = bootstrap.Number(v)
+		default:
+			err = fmt.Errorf("unknown%s", like(name, []string{"wave", "over", "bursts", "every", "lasting", "keys", "zipf"}))
+		}
+		return err
+	})
+	if err == nil && keys > 0 {
+		d.Keys, err = traffic.NewZipf(keys, exponent)
+	}
+	if err == nil && d.Shape.Height > 0 && d.Shape.Every == 0 {
+		err = fmt.Errorf("bursts need every and a time")
+	}
+	if err == nil {
+		err = d.Shape.Check()
+	}
+	return err
+}
+
 func readServers(w []string) (g ServerGroup, err error) {
 	g = ServerGroup{Kind: "std", Workers: 2, Queue: 30, Weight: 1, Capacity: 20, GiveUp: emulator.SkipsWait}
 	if len(w) < 2 {
@@ -345,8 +433,22 @@
 			if g.GiveUp = how; !known {
 				err = fmt.Errorf("%q is none of runs-on, skips-wait, stops", v)
 			}
+		case "cell":
+			g.Cell, err = bootstrap.Whole(v, 0, 1e6)
+		case "connections":
+			g.Conns, err = bootstrap.Whole(v, 0, 1e6)
+		case "reports":
+			g.Reports = true
+			g.Late, err = bootstrap.Duration(v)
+		case "noise":
+			g.Noise, err = bootstrap.Share(v)
+		case "memory":
+			g.Memory, err = bootstrap.Whole(v, 0, 1e6)
+		case "saves":
+			g.Saves, err = bootstrap.Share(v)
 		default:
-			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "kind", "capacity", "workers", "queue", "weight", "work", "give-up"}))
+			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "kind", "capacity", "workers", "queue", "weight", "work", "give-up", "cell",
+				"connections", "reports", "noise", "memory", "saves"}))
 		}
 		return err
 	})
@@ -367,8 +469,16 @@
 			g.Zone = v
 		case "rate":
 			g.Rate, err = bootstrap.Number(v)
+		case "uneven":
+			if g.Uneven, err = bootstrap.Number(v); err == nil && g.Uneven > 10 {
+				err = fmt.Errorf("%v is more than 10", g.Uneven)
+			}
+		case "pick":
+			if g.Pick = v; !slices.Contains([]string{"even", "weight", "pair", "report"}, v) {
+				err = fmt.Errorf("%q is none of even, weight, pair, report", v)
+			}
 		default:
-			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "rate"}))
+			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "rate", "uneven", "pick"}))
 		}
 		return err
 	})
@@ -397,13 +507,19 @@
 	picked := false
 	for len(rest) > 0 {
 		word := rest[0]
-		if slices.Contains([]string{"by", "for", "drain", "down", "every", "zone", "kind", "number"}, word) && len(rest) < 2 {
+		if slices.Contains([]string{"by", "for", "drain", "down", "every", "zone", "kind", "number", "with"}, word) && len(rest) < 2 {
 			return a, fmt.Errorf("%s has no value", word)
 		}
 		switch word {
 		case "by":
 			a.By = rest[1]
 			rest = rest[2:]
+		case "with":
+			a.With = rest[1]
+			if a.Verb != "flap" || !slices.Contains([]string{"crash", "silence", "hang", "fast"}, a.With) {
+				return a, fmt.Errorf("with %s: only a flap takes with, and one of crash, silence, hang, fast", a.With)
+			}
+			rest = rest[2:]
 		case "for":
 			if a.For, err = bootstrap.Duration(rest[1]); err != nil {
 				return a, err
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -13,6 +13,7 @@
 	"gingerfork/internal/rules"
 	"gingerfork/internal/standin"
 	"gingerfork/internal/trace"
+	"gingerfork/internal/traffic"
 	"gingerfork/internal/virtual"
 )
 
@@ -36,6 +37,7 @@
 	Records []trace.Record
 	Fails   []string // of machines that failed: a defect of the program, whatever the rules say
 	Steps   int
+	Truth   *Truth // nil unless it was asked for
 }
 
 // cast is who plays in a day.
@@ -51,6 +53,7 @@
 	count   int
 	begin   machine.Seconds
 	spoil   map[string]any // values given to coordinators in place of the settings'
+	zoneCut map[string]int // how many cuts part a zone from the others
 }
 
 type actor struct {
@@ -63,11 +66,14 @@
 	group ServerGroup
 	up    bool
 	lives int
+	pick  string
 	down  int // how many troubles keep it down
+	// cutOff counts the cuts that part a server from all others.
+	cutOff int
 }
 
 func newCast(d *Day) *cast {
-	c := &cast{day: d, all: map[string]*actor{}, dice: emulator.NewDice(d.Seed)}
+	c := &cast{day: d, all: map[string]*actor{}, zoneCut: map[string]int{}, dice: emulator.NewDice(d.Seed)}
 	zones := d.Zones()
 	zone := func(z string, i int) string {
 		if z == "" {
@@ -88,10 +94,11 @@
 			put(&c.servers, &actor{name: fmt.Sprintf("s%d", i), zone: zone(g.Zone, i), kind: g.Kind, ep: proto.EP(i + 1), at: i, group: g})
 		}
 	}
-	for _, g := range d.Fronts {
-		for range g.N {
+	for n, g := range d.Fronts {
+		factors := traffic.Uneven(g.N, g.Uneven, standin.Seed(d.Seed, fmt.Sprint("uneven ", n)))
+		for k := range g.N {
 			i := len(c.fronts)
-			put(&c.fronts, &actor{name: fmt.Sprintf("f%d", i), zone: zone(g.Zone, i), at: i, rate: g.Rate})
+			put(&c.fronts, &actor{name: fmt.Sprintf("f%d", i), zone: zone(g.Zone, i), at: i, rate: g.Rate * factors[k], pick: g.Pick})
 		}
 	}
 	c.all["list"] = &actor{name: "list", zone: zones[0]}
@@ -119,7 +126,8 @@
 	return emulator.NewServer(emulator.Trade{EP: uint32(a.ep), Zone: a.zone, Cores: g.Workers, Speed: 1, Work: []emulator.Work{work}, QueueMost: g.Queue,
 		GiveUp: g.GiveUp, Cold: a.lives > 1, ColdShare: b.Num("cold_share", 0.3), WarmAfter: b.Num("warm_after", 10),
 		FallMultiple: b.Num("fall_multiple", 3), FallWindow: b.Num("fall_window", 1), ProbeWork: work.Mean / 10, ProbesMost: 10,
-		ConnWork: work.Mean / 10, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives), Store: store})
+		ConnWork: work.Mean / 10, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives), Store: store,
+		Cell: g.Cell, Connections: g.Conns, Reports: g.Reports, ReportLate: g.Late, ReportNoise: g.Noise, Keys: g.Memory, KeySaves: g.Saves})
 }
 
 func (c *cast) front(a *actor, coords []string) *standin.FrontEnd {
@@ -129,8 +137,12 @@
 		order = append(order, coords[(a.at+i)%len(coords)])
 	}
 	a.lives++
+	pick := b.Word("pick")
+	if a.pick != "" {
+		pick = a.pick
+	}
 	return standin.NewFrontEnd(standin.FrontTrade{Name: a.name, Zone: a.zone, Coordinators: order, Methods: c.day.methods(),
-		Rate: a.rate, Pick: b.Word("pick"), Strikes: int(b.Num("strikes", 0)), KeepAway: c.day.KeepAway, TryWait: b.Num("try_wait", 0.8),
+		Rate: a.rate, Pick: pick, Begin: c.begin, Shape: c.day.Shape, Keys: c.day.Keys, Strikes: int(b.Num("strikes", 0)), KeepAway: c.day.KeepAway, TryWait: b.Num("try_wait", 0.8),
 		LineStill: c.day.LineStill, LevelRate: b.Word("level_kind") == "rate", Period: b.Num("report_period", 1),
 		ConnectTimeout: c.day.Connect, ComeAgain: c.day.ComeAgain, AgainWait: c.day.AgainWait, AgainMost: c.day.AgainMost, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives)})
 }
@@ -138,7 +150,7 @@
 // store is what servers share for tokens, as the settings' groups allow.
 func (c *cast) store() *emulator.Store {
 	b := choice.Bootstrap{Values: c.day.Trade.Values}
-	s := &emulator.Store{}
+	s := &emulator.Store{Group: c.day.Tokens}
 	for i := range c.day.Trade.Methods {
 		s.Window = max(s.Window, b.Num(fmt.Sprintf("method.%d.window", i), 0))
 	}
@@ -293,11 +305,27 @@
 				c.after(t+0.5+min(by, 0.5), func() { c.stage.Tell(x.name, "heal hang") })
 			}
 		}
+	case "silence":
+		for i, x := range hit {
+			up := c.hush(x, id+"."+strconv.Itoa(i))
+			c.then(a, up)
+		}
 	case "flap":
-		for _, x := range hit {
+		for i, x := range hit {
 			for t := 0.0; t < a.For; t += 2 * max(by, 0.1) {
-				c.after(t, func() { c.fall(x, true) })
-				c.after(t+max(by, 0.1), func() { c.raise(x) })
+				c.after(t, func() {
+					up := func() { c.raise(x) }
+					switch a.With {
+					case "silence":
+						up = c.hush(x, id+"."+strconv.Itoa(i))
+					case "hang", "fast":
+						c.stage.Tell(x.name, a.With)
+						up = func() { c.stage.Tell(x.name, "heal "+a.With) }
+					default:
+						c.fall(x, true)
+					}
+					c.after(max(by, 0.1), up)
+				})
 			}
 		}
 	case "deploy":
@@ -330,6 +358,18 @@
 		c.then(a, func() { c.list("show all") })
 	case "cut":
 		c.hinder(a, id, virtual.Hindrance{Cut: true}, c.across(a, in))
+		mark := func(n int) {
+			switch a.Of {
+			case "zone":
+				c.zoneCut[a.Pick.Zone] += n
+			case "servers":
+				for _, x := range hit {
+					x.cutOff += n
+				}
+			}
+		}
+		mark(1)
+		c.then(a, func() { mark(-1) })
 	case "load":
 		for _, x := range hit {
 			c.stage.Tell(x.name, fmt.Sprintf("rate %g", x.rate*by))
@@ -364,6 +404,17 @@
 	return value("drain", 3), value("down", 1), value("every", 1)
 }
 
+// hush has a server's machine lose its power: its process ends, and nobody hears of it, not even by a reset. What it
+// gives brings it back.
+func (c *cast) hush(x *actor, id string) func() {
+	c.stage.Hinder(id, virtual.Hindrance{Cut: true}, func(a, b string) bool { return a == x.name || b == x.name })
+	c.fall(x, true)
+	return func() {
+		c.stage.Clear(id)
+		c.raise(x)
+	}
+}
+
 // fall ends a process; where the list service is to know, it does after the day's notice.
 func (c *cast) fall(x *actor, listed bool) {
 	c.kill(x)
@@ -477,6 +528,8 @@
 	Wrap func(name string, m machine.Machine) machine.Machine
 	// Values are given to coordinators in place of the settings' own, to the same end.
 	Values map[string]any
+	Way    Way  // how proxies get their tables
+	Truth  bool // the servers' true state is looked at, too
 }
 
 // Virtual plays a day in virtual time.
@@ -490,6 +543,7 @@
 	w.Trace, w.Log = c.record, o.Log
 	self := func(a *actor) string { return a.name }
 	store := c.store()
+	frost := &standin.Frost{After: epoch + Settled}
 	w.Add("list", c.all["list"].zone, func(machine.Seconds, map[string][]byte) machine.Machine {
 		return standin.NewList(c.listings(self))
 	}, "list")
@@ -500,7 +554,14 @@
 	for _, a := range c.coords {
 		coords = append(coords, a.name)
 		w.Add(a.name, a.zone, func(now machine.Seconds, files map[string][]byte) machine.Machine {
-			m := machine.Machine(coordinator.NewMachine(c.coordinator(a, now, "list"), files[coordinator.KeptList]))
+			b := c.coordinator(a, now, "list")
+			if o.Way == AllServers {
+				return standin.NewPlain(a.name, "list", d.Trade.Methods, b.Module.Num("report_period", 1))
+			}
+			m := machine.Machine(coordinator.NewMachine(b, files[coordinator.KeptList]))
+			if o.Way == FrozenStart {
+				m = frost.Wrap(m)
+			}
 			if o.Wrap != nil {
 				m = o.Wrap(a.name, m)
 			}
@@ -511,8 +572,14 @@
 		w.Add(a.name, a.zone, func(machine.Seconds, map[string][]byte) machine.Machine { return c.front(a, coords) })
 	}
 	c.start()
+	var truth *Truth
+	if o.Truth {
+		truth = &Truth{}
+		c.watch(w, truth)
+	}
 	w.Run(epoch + d.Length)
 	r, err := finish(d, records, w.Fails)
+	r.Truth = truth
 	r.Steps = w.Steps
 	return r, err
 }
--- /dev/null
+++ b/internal/rehearse/truth.go
@@ -0,0 +1,131 @@
+package rehearse
+
+import (
+	"math"
+	"slices"
+
+	"gingerfork/internal/bound"
+	"gingerfork/internal/emulator"
+	"gingerfork/internal/machine"
+	"gingerfork/internal/trace"
+	"gingerfork/internal/virtual"
+)
+
+// Glance is how often the emulated servers' true state is looked at, in seconds.
+const Glance = 0.25
+
+// Truth is what the servers were really able to do, and did, by stretches of Glance seconds. Nobody who plays knows it.
+type Truth struct {
+	Begin  machine.Seconds
+	Supply []bound.Supply
+	Able   [][]float32 // by stretch and server: RPCs a second of the first method that it can do
+	Busy   [][]float32 // and the share of its cores that is busy
+	Waits  [][]float32 // and RPCs that wait there
+}
+
+// watch has the true state looked at until the day ends.
+func (c *cast) watch(w *virtual.World, truth *Truth) {
+	truth.Begin = w.Now()
+	methods := len(c.day.Trade.Methods)
+	zones := c.day.Zones()
+	slot := 0
+	var look func()
+	look = func() {
+		type pool struct {
+			zone  string
+			fails uint64
+		}
+		sums := map[pool]float64{}
+		able, busy, waits := make([]float32, len(c.servers)), make([]float32, len(c.servers)), make([]float32, len(c.servers))
+		for i, s := range c.servers {
+			m, up := w.Machine(s.name).(*emulator.Server)
+			if !up || s.cutOff > 0 {
+				continue
+			}
+			p := pool{zone: s.zone}
+			most := 0.0
+			for k := range methods {
+				if x := m.Able(k); x > 0 {
+					most = max(most, x)
+				} else {
+					p.fails |= 1 << k
+				}
+			}
+			sums[p] += most * Glance
+			_, waiting, share := m.Load()
+			able[i], busy[i], waits[i] = float32(most), float32(share), float32(waiting)
+		}
+		truth.Able, truth.Busy, truth.Waits = append(truth.Able, able), append(truth.Busy, busy), append(truth.Waits, waits)
+		for _, zone := range zones { // in this order, as sums over a map would differ from run to run
+			for fails := range uint64(1) << min(methods, 8) {
+				n := sums[pool{zone, fails}]
+				if n <= 0 {
+					continue
+				}
+				s := bound.Supply{Slot: slot, Fails: fails, N: n}
+				if c.apart() {
+					for _, z := range zones {
+						if z == zone || c.zoneCut[z] == 0 && c.zoneCut[zone] == 0 {
+							s.Only = append(s.Only, z)
+						}
+					}
+				}
+				truth.Supply = append(truth.Supply, s)
+			}
+		}
+		slot++
+		c.after(Glance, look)
+	}
+	c.stage.At(truth.Begin+Glance/2, look)
+}
+
+func (c *cast) apart() bool {
+	for _, n := range c.zoneCut {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Bound reckons the most service that the day allowed, from the servers' true state and from what was asked in a run.
+func (d *Day) Bound(truth *Truth, records []trace.Record) (bound.Bound, error) {
+	limits := d.Limits()
+	var methods []bound.Method
+	for i := range limits.Methods {
+		soft := limits.Methods[i].SoftDeadline
+		fit := 0.0
+		for _, g := range d.Servers {
+			work := g.Work
+			work.Mean = float64(g.Workers) / g.Capacity
+			fit = max(fit, work.Within(soft))
+		}
+		methods = append(methods, bound.Method{Criticality: limits.Methods[i].Criticality, Fit: fit,
+			Slots: int(math.Ceil(soft / Glance))})
+	}
+	zone := map[string]string{}
+	for _, f := range newCast(d).fronts {
+		zone[f.name] = f.zone
+	}
+	type key struct {
+		slot, method int
+		zone         string
+	}
+	count := map[key]float64{}
+	var keys []key
+	for _, r := range records {
+		if r.Kind != trace.End {
+			continue
+		}
+		k := key{max(0, int((r.T-r.X-truth.Begin)/Glance)), r.Method, zone[r.Who]}
+		if count[k]++; count[k] == 1 {
+			keys = append(keys, k)
+		}
+	}
+	var demand []bound.Demand
+	for _, k := range keys {
+		demand = append(demand, bound.Demand{Slot: k.slot, Zone: k.zone, Method: k.method, N: count[k]})
+	}
+	slices.SortStableFunc(demand, func(x, y bound.Demand) int { return x.Slot - y.Slot })
+	return bound.Most(demand, truth.Supply, methods)
+}
--- /dev/null
+++ b/internal/rehearse/versus.go
@@ -0,0 +1,106 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+
+	"gingerfork/internal/bound"
+)
+
+// Way is how proxies get their tables in a run.
+type Way uint8
+
+const (
+	Coordinated Way = iota // by coordinators, as in service
+	AllServers             // one table of all servers that the list shows
+	FrozenStart            // the coordinators' tables as they were Settled seconds after the start
+	ways
+)
+
+func (w Way) String() string {
+	return [...]string{"coordinator", "all servers", "frozen", "?"}[min(w, ways)]
+}
+
+// Settled is when the tables of FrozenStart are frozen, in seconds after the start.
+const Settled = 4.0
+
+// Versus is a day played in each way on the same seed, beside what could have been reached.
+type Versus struct {
+	Day   *Day
+	Ways  [3]Result
+	Bound bound.Bound
+}
+
+// Compare plays days in virtual time in each way, on so many cores; done is called with each day in order.
+func Compare(ctx context.Context, days []*Day, done func(Versus) error) error {
+	all := make([]Versus, len(days))
+	errs := make([]error, len(days)*int(ways))
+	ready := make([]chan struct{}, len(days))
+	type job struct {
+		day int
+		way Way
+	}
+	jobs := make(chan job)
+	left := make([]sync.WaitGroup, len(days))
+	var work sync.WaitGroup
+	for i := range days {
+		ready[i] = make(chan struct{})
+		all[i].Day = days[i]
+		left[i].Add(int(ways))
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			left[i].Wait()
+			close(ready[i])
+		}()
+	}
+	for range runtime.GOMAXPROCS(0) {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			for j := range jobs {
+				r, err := Virtual(days[j.day], Options{Way: j.way, Truth: j.way == Coordinated})
+				if err == nil && j.way == Coordinated {
+					all[j.day].Bound, err = days[j.day].Bound(r.Truth, r.Records)
+				}
+				if err != nil {
+					errs[j.day*int(ways)+int(j.way)] = fmt.Errorf("play %s, %v: %w", days[j.day].Name, j.way, err)
+				}
+				r.Records = nil // some hundred thousand each
+				all[j.day].Ways[j.way] = r
+				left[j.day].Done()
+			}
+		}()
+	}
+	work.Add(1)
+	go func() {
+		defer work.Done()
+		defer close(jobs)
+		for i := range days {
+			for w := range ways {
+				if ctx.Err() != nil {
+					errs[i*int(ways)+int(w)] = ctx.Err()
+					left[i].Done()
+					continue
+				}
+				jobs <- job{i, w}
+			}
+		}
+	}()
+	var first error
+	for i := range days {
+		<-ready[i]
+		for _, err := range errs[i*int(ways) : (i+1)*int(ways)] {
+			if first == nil {
+				first = err
+			}
+		}
+		if first == nil {
+			first = done(all[i])
+		}
+	}
+	work.Wait()
+	return first
+}
--- a/internal/standin/frontend.go
+++ b/internal/standin/frontend.go
@@ -10,6 +10,7 @@
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
 	"gingerfork/internal/trace"
+	"gingerfork/internal/traffic"
 )
 
 // Effect tells what a second run of an RPC does.
@@ -51,9 +52,12 @@
 	Zone           string
 	Coordinators   []string // addresses, tried in this order
 	Methods        []MethodTrade
-	Rate           float64 // RPCs a second that come to it
-	Pick           string  // even, weight or pair
-	Strikes        int     // own failures in a row after which it keeps away from a server; 0: never
+	Rate           float64         // RPCs a second that come to it
+	Begin          machine.Seconds // of the day, which the traffic's shape goes by; 0: its own first step
+	Shape          traffic.Shape
+	Keys           *traffic.Zipf // nil: RPCs are about nothing
+	Pick           string        // even, weight, pair, or report: the one of two that reported less
+	Strikes        int           // own failures in a row after which it keeps away from a server; 0: never
 	KeepAway       machine.Seconds
 	TryWait        float64 // of the soft deadline, what a try that may be followed waits
 	LineStill      machine.Seconds
@@ -72,6 +76,9 @@
 type FrontEnd struct {
 	trade  FrontTrade
 	dice   emulator.Dice
+	source *traffic.Source
+	due    uint64 // counts the arrivals that were put on the clock
+	self   uint64 // upper half of its RPCs' numbers
 	timers timers
 	out    *machine.Out
 	conns  machine.Conn
@@ -137,6 +144,8 @@
 	reader proto.Reader
 	out    map[uint64]*rpc // sent and not answered, by try
 	wait   []uint64
+	load   float64         // as last reported,
+	told   machine.Seconds // then; 0: never
 }
 
 // health is what a server showed this front end; it outlives connections.
@@ -160,6 +169,7 @@
 	link   *link
 	sent   machine.Seconds
 	n      int
+	key    uint64
 	tried  []proto.EP
 	done   bool
 	came   int // times that its client came before
@@ -183,7 +193,17 @@
 		}
 		f.dial(now)
 		f.timers.at(now+f.trade.Period*(0.5+f.dice.Draw()), f.report)
-		f.timers.at(now+f.dice.Wait(f.rate), f.arrive)
+		f.self = Seed(0, fmt.Sprint(f.trade.Name, f.trade.Seed)) << 32
+		begin := f.trade.Begin
+		if begin == 0 {
+			begin = now
+		}
+		var mix []float64
+		for _, m := range f.trade.Methods {
+			mix = append(mix, m.Share)
+		}
+		f.source = traffic.NewSource(f.trade.Seed, f.rate, f.trade.Shape, mix, f.trade.Keys, begin)
+		f.await(now)
 	}
 	// While it applies a push it stands still: what comes meanwhile waits.
 	f.held = append(f.held, in...)
@@ -463,18 +483,24 @@
 	f.out.Write(f.stream, proto.Append(nil, s))
 }
 
+// await puts the next arrival on the clock; one drawn before is forgotten.
+func (f *FrontEnd) await(now machine.Seconds) {
+	f.due++
+	life := f.due
+	if d, any := f.source.Next(now); any {
+		f.timers.at(d.At, func(now machine.Seconds) {
+			if f.due == life {
+				f.await(d.At) // from when it was due: a process that stood still has them all to serve
+				f.arrive(now, d)
+			}
+		})
+	}
+}
+
 // arrive: a client's RPC comes.
-func (f *FrontEnd) arrive(now machine.Seconds) {
-	f.timers.at(now+f.dice.Wait(f.rate), f.arrive)
+func (f *FrontEnd) arrive(now machine.Seconds, d traffic.Due) {
 	f.count++
-	r := &rpc{id: Seed(0, fmt.Sprint(f.trade.Name, f.trade.Seed))<<32 | f.count, asked: now}
-	x := f.dice.Draw()
-	for m, t := range f.trade.Methods {
-		if r.method = m; x < t.Share {
-			break
-		}
-		x -= t.Share
-	}
+	r := &rpc{id: f.self | f.count, asked: d.At, method: d.Method, key: d.Key}
 	if f.trade.Methods[r.method].Effect == Tokened {
 		r.token = r.id
 	}
@@ -489,7 +515,7 @@
 		f.end(now, r, proto.PushedBack)
 		return
 	}
-	f.timers.at(now+f.trade.Methods[r.method].Deadline, func(now machine.Seconds) {
+	f.timers.at(r.asked+f.trade.Methods[r.method].Deadline, func(now machine.Seconds) {
 		if !r.done {
 			f.tried(now, r, false)
 			f.end(now, r, proto.Aborted)
@@ -563,6 +589,12 @@
 			return b
 		}
 		return a
+	case "report":
+		a, b := draw(), draw()
+		if f.reported(now, b.ep) < f.reported(now, a.ep) {
+			return b
+		}
+		return a
 	case "even":
 		sum := 0.0
 		best := open[0]
@@ -586,6 +618,14 @@
 	return 0
 }
 
+// reported is the load that a server reported last, if that is not long ago, else what is known here.
+func (f *FrontEnd) reported(now machine.Seconds, ep proto.EP) float64 {
+	if l := f.links[ep]; l != nil && l.told > 0 && now < l.told+f.trade.Period {
+		return l.load
+	}
+	return float64(f.busy(ep))
+}
+
 func (f *FrontEnd) send(now machine.Seconds, r *rpc, why string) bool {
 	x := f.pick(now, r)
 	if x == nil {
@@ -636,7 +676,7 @@
 
 func (f *FrontEnd) write(now machine.Seconds, l *link, r *rpc) {
 	m := f.trade.Methods[r.method]
-	f.out.Write(l.conn, proto.Append(nil, proto.RPC{ID: r.id, Method: uint64(r.method), Token: r.token,
+	f.out.Write(l.conn, proto.Append(nil, proto.RPC{ID: r.id, Method: uint64(r.method), Token: r.token, Key: r.key,
 		Left: max(0, r.asked+m.Deadline-now)}))
 }
 
@@ -735,7 +775,7 @@
 	wait := f.trade.AgainWait * float64(int(1)<<min(r.came, 10)) * (0.5 + f.dice.Draw())
 	f.timers.at(now+wait, func(now machine.Seconds) {
 		f.count++
-		f.begin(now, &rpc{id: r.id>>32<<32 | f.count, method: r.method, asked: now, token: r.token, came: r.came + 1})
+		f.begin(now, &rpc{id: f.self | f.count, method: r.method, asked: now, token: r.token, key: r.key, came: r.came + 1})
 	})
 }
 
@@ -775,6 +815,9 @@
 }
 
 func (f *FrontEnd) replied(now machine.Seconds, l *link, m proto.Reply) {
+	if m.Reports {
+		l.load, l.told = m.Load, now
+	}
 	r := f.rpcs[m.ID]
 	if r == nil || r.link != l {
 		return // given up before
@@ -817,11 +860,9 @@
 	v, _ := strconv.ParseFloat(rest, 64)
 	switch word {
 	case "rate":
-		idle := f.rate <= 0
 		f.rate = v
-		if idle {
-			f.timers.at(now+f.dice.Wait(f.rate), f.arrive)
-		}
+		f.source.Rate(v)
+		f.await(now)
 	case "still":
 		f.still = max(f.still, now+v)
 	case "reset":
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -364,7 +364,7 @@
 			names = append(names, fmt.Sprint(a.Conn, m))
 		}
 	}
-	if got := strings.Join(names, "; "); !strings.Contains(got, "5 {1 server-3 0 []}") || !strings.Contains(got, "6 {1 server-1 0 []}") || !strings.Contains(got, "6 {1 pushed back}") {
+	if got := strings.Join(names, "; "); !strings.Contains(got, "5 {1 server-3 0 []}") || !strings.Contains(got, "6 {1 server-1 0 []}") || !strings.Contains(got, "6 {1 pushed back false 0}") {
 		t.Fatal(got)
 	}
 	if c.members[1].wake < machine.Never && c.members[1].next != 0 {
