Cold servers take no more than their part where arcs keep to their zone

Arcs take their own zone's servers first, up to 1.5 times their part (1.7 with two planners), cold ones too; the emulated fleet showed cold servers at 12 RPCs a second where their weights meant 8.5.

Change: a cold server's part in the arcs' bound is what it was at fairLeast. Intake: usage sums no longer wait behind sums of tries that still gather (a heap by when they are ripe). Report: what servers could do beside what was used, each server's use as a map; legends and ticks put right; the emulated servers' ability is as of now, not of their last event.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -396,7 +396,13 @@
 	r.frail = c.frail(asks / r.lines)
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
 	// The lumps of other planners' arcs add to ours by the root; a full zone is full for all of them.
-	bound := asks * (1 + (c.gate.fair-1)/math.Sqrt(max(c.ours(), 1e-3))) / room
+	lump := 1 / math.Sqrt(max(c.ours(), 1e-3))
+	bound := asks * (1 + (c.gate.fair-1)*lump) / room
+	for _, i := range r.order { // what arcs keep in their zone must not go to cold ones: a zone lost comes back cold
+		if c.ease[i] < 1 {
+			c.part[i] *= (1 + (fairLeast-1)*lump) / (1 + (c.gate.fair-1)*lump)
+		}
+	}
 	if c.gate.first == 0 { // until the first sums proxies join one by one; all anew lies evener
 		c.carry = make([]float64, len(c.id))
 	}
--- a/cmd/gingerfork/rehearse.go
+++ b/cmd/gingerfork/rehearse.go
@@ -61,6 +61,14 @@
 		if err != nil {
 			return fmt.Errorf("reckon the report: %w", err)
 		}
+		if r.Truth != nil {
+			figures.Fleet = &report.Fleet{Step: rehearse.Glance, Able: r.Truth.Able, Busy: r.Truth.Busy, Waits: r.Truth.Waits}
+			b, err := d.Bound(r.Truth, r.Records)
+			if err != nil {
+				return fmt.Errorf("reckon the bound: %w", err)
+			}
+			figures.Fleet.Most = b.Share()
+		}
 		if c.Picture != "" {
 			if err := draw(c.Picture, d.Name, figures); err != nil {
 				return err
@@ -179,7 +187,7 @@
 
 func (c rehearseCmd) play(ctx context.Context, p *program, d *rehearse.Day) (rehearse.Result, error) {
 	if c.Virtual {
-		return rehearse.Virtual(d, rehearse.Options{})
+		return rehearse.Virtual(d, rehearse.Options{Truth: true})
 	}
 	dir := c.Keep
 	if dir == "" {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -569,7 +569,7 @@
 	for range 1000 {
 		k.heard(now, &stream{zone: "a"}, proto.Sums{Over: 1, Usage: []proto.Usage{{Method: 0, RPCs: 1}}, Tries: []proto.Tries{{EP: 1, Tries: 1}}}, all, 2)
 	}
-	if n := len(k.queue) - k.head; n > 2 {
+	if n := len(k.queue); n > 2 {
 		t.Fatalf("%d lines wait for one server and one proxy", n)
 	}
 }
--- a/internal/coordinator/intake.go
+++ b/internal/coordinator/intake.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"container/heap"
+
 	"gingerfork/choice"
 	"gingerfork/internal/proto"
 )
@@ -13,8 +15,8 @@
 	period choice.Seconds
 	credit float64
 	last   choice.Seconds
-	queue  []*sum // oldest first; those handed over are nil
-	head   int
+	queue  ripening
+	count  uint64
 	tries  map[tryPair]*sum
 	usage  map[usagePair]*sum
 }
@@ -34,7 +36,9 @@
 	}
 	// sum is a line that waits. Its span is from the oldest moment that it covers to the newest.
 	sum struct {
-		ripe     choice.Seconds // when the period that it gathers ends
+		ripe     choice.Seconds // when it has gathered long enough
+		n0       uint64         // keeps the order of those ripe at the same time
+		at       int            // in the queue
 		from, to choice.Seconds
 		pair     tryPair
 		use      usagePair
@@ -61,7 +65,7 @@
 			// The zone's other proxies report within the period; one line tells of them all.
 			x = &sum{ripe: now + k.period/2, from: from, pair: pair}
 			k.tries[pair] = x
-			k.queue = append(k.queue, x)
+			k.add(x)
 		}
 		good, more := float64(x.n-x.bad), float64(t.Tries-t.Bad)
 		if more > 0 {
@@ -79,7 +83,7 @@
 		if x == nil {
 			x = &sum{ripe: now, from: from, use: pair, usage: true}
 			k.usage[pair] = x
-			k.queue = append(k.queue, x)
+			k.add(x)
 		}
 		x.n, x.bad = x.n+int(u.RPCs), x.bad+int(u.Bad)
 		x.from, x.to = min(x.from, from), now
@@ -93,39 +97,33 @@
 		k.credit = min(k.credit+(now-k.last)*k.rate, max(1, k.rate/20))
 	}
 	k.last = now
-	for k.head < len(k.queue) {
-		x := k.queue[k.head]
-		if x != nil {
-			if x.ripe > now || k.rate > 0 && k.credit < whole {
-				break
-			}
-			k.credit--
-			if x.usage {
-				delete(k.usage, x.use)
-				events = append(events, choice.UsageSum{Proxy: x.use.proxy, Method: x.use.method, RPCs: x.n,
-					Bad: min(x.bad, x.n), Over: x.to - x.from})
-			} else {
-				delete(k.tries, x.pair)
-				events = append(events, choice.TrySum{EP: x.pair.ep, Zone: x.pair.zone, Tries: x.n, Bad: x.bad,
-					Delay: x.delay, Over: x.to - x.from})
-			}
-			k.queue[k.head] = nil
+	for len(k.queue) > 0 && k.queue[0].ripe <= now && (k.rate <= 0 || k.credit >= whole) {
+		x := heap.Pop(&k.queue).(*sum)
+		k.credit--
+		if x.usage {
+			delete(k.usage, x.use)
+			events = append(events, choice.UsageSum{Proxy: x.use.proxy, Method: x.use.method, RPCs: x.n,
+				Bad: min(x.bad, x.n), Over: x.to - x.from})
+		} else {
+			delete(k.tries, x.pair)
+			events = append(events, choice.TrySum{EP: x.pair.ep, Zone: x.pair.zone, Tries: x.n, Bad: x.bad,
+				Delay: x.delay, Over: x.to - x.from})
 		}
-		k.head++
-	}
-	if k.head == len(k.queue) {
-		k.queue, k.head = k.queue[:0], 0
-	} else if k.head > 1024 && k.head > len(k.queue)/2 {
-		k.queue, k.head = append(k.queue[:0], k.queue[k.head:]...), 0
 	}
 	return events
 }
 
+func (k *intake) add(x *sum) {
+	k.count++
+	x.n0 = k.count
+	heap.Push(&k.queue, x)
+}
+
 func (k *intake) wake() (at choice.Seconds, any bool) {
-	if k.head >= len(k.queue) || k.queue[k.head] == nil {
+	if len(k.queue) == 0 {
 		return 0, false
 	}
-	at = k.queue[k.head].ripe
+	at = k.queue[0].ripe
 	if k.rate > 0 && k.credit < whole {
 		at = max(at, k.last+(1-k.credit)/k.rate)
 	}
@@ -134,10 +132,32 @@
 
 // forget drops what waits of a proxy whose number may be given to another.
 func (k *intake) forget(p choice.Proxy) {
-	for i := k.head; i < len(k.queue); i++ {
-		if x := k.queue[i]; x != nil && x.usage && x.use.proxy == p {
-			delete(k.usage, x.use)
-			k.queue[i] = nil
+	var gone []*sum
+	for _, x := range k.queue {
+		if x.usage && x.use.proxy == p {
+			gone = append(gone, x)
 		}
 	}
+	for _, x := range gone {
+		delete(k.usage, x.use)
+		heap.Remove(&k.queue, x.at)
+	}
+}
+
+// ripening is a heap: what is ripe first is handed over first. In a plain row what ripens at once, as usage does, would
+// wait behind what still gathers.
+type ripening []*sum
+
+func (r ripening) Len() int { return len(r) }
+func (r ripening) Less(i, j int) bool {
+	return r[i].ripe < r[j].ripe || r[i].ripe == r[j].ripe && r[i].n0 < r[j].n0
+}
+func (r ripening) Swap(i, j int) { r[i], r[j] = r[j], r[i]; r[i].at, r[j].at = i, j }
+func (r *ripening) Push(x any)   { s := x.(*sum); s.at = len(*r); *r = append(*r, s) }
+func (r *ripening) Pop() any {
+	old := *r
+	x := old[len(old)-1]
+	old[len(old)-1] = nil
+	*r = old[:len(old)-1]
+	return x
 }
--- a/internal/emulator/model.go
+++ b/internal/emulator/model.go
@@ -512,7 +512,7 @@
 
 // Able is the RPCs a second of a method that it could do at present, all work of its troubles counted; callers that are
 // refused or hear nothing are not its matter.
-func (m *Model) Able(method int) float64 {
+func (m *Model) Able(now Seconds, method int) float64 {
 	if m.fallen || m.hung > 0 || m.fast || m.method == method {
 		return 0
 	}
@@ -520,7 +520,7 @@
 	if m.dear > 0 {
 		mean *= 0.9 + 0.1*m.dear
 	}
-	return float64(m.t.Cores) * m.t.Speed * m.Warmth(m.now) / m.slow / mean * (1 - m.part)
+	return float64(m.t.Cores) * m.t.Speed * m.Warmth(now) / m.slow / mean * (1 - m.part)
 }
 
 // Load is what a load report says: RPCs under way, waiting, and the share of its cores that are busy.
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -87,11 +87,11 @@
 
 // Able tells what it could do at present of a method, RPCs a second; Load how many RPCs are under way and waiting, and the
 // share of its cores that are busy. Whoever watches a rehearsal asks; nobody who takes part in it does.
-func (s *Server) Able(method int) float64 {
+func (s *Server) Able(now machine.Seconds, method int) float64 {
 	if s.model == nil {
 		return 0
 	}
-	return s.model.Able(method)
+	return s.model.Able(now, method)
 }
 
 // Load is Model's.
--- a/internal/rehearse/truth.go
+++ b/internal/rehearse/truth.go
@@ -45,7 +45,7 @@
 			p := pool{zone: s.zone}
 			most := 0.0
 			for k := range methods {
-				if x := m.Able(k); x > 0 {
+				if x := m.Able(w.Now(), k); x > 0 {
 					most = max(most, x)
 				} else {
 					p.fails |= 1 << k
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -47,6 +47,15 @@
 	P50, P90, P99, Worst float64 // seconds
 }
 
+// Fleet is what the servers were able to do, and did, where somebody looked at them every Step seconds.
+type Fleet struct {
+	Step  float64
+	Able  [][]float32 // by look and server: RPCs a second that it could do
+	Busy  [][]float32 // the share of its cores that was busy
+	Waits [][]float32 // RPCs that waited there
+	Most  float64     // the most service that the day allowed; 0: not known
+}
+
 // Report is a day's figures.
 type Report struct {
 	Seconds   []Second
@@ -56,6 +65,7 @@
 	WorstAt   int     // where they begin
 	Poorest   string  // the method with the least service,
 	PoorestBy float64 // and that
+	Fleet     *Fleet  // nil: nobody looked
 }
 
 // Make reckons the figures of a trace whose records are in the order of time.
@@ -160,6 +170,7 @@
 		p.Title.Text, p.Y.Label.Text = name, unit
 		p.X.Min, p.X.Max, p.Y.Min, p.Y.Max = 0, length, 0, most
 		p.Legend.Top, p.Legend.Padding, p.Legend.XOffs = true, vg.Points(2), vg.Points(-6)
+		p.X.Tick.Marker = seconds{}
 		p.Add(plotter.NewGrid())
 		for _, t := range r.Troubles {
 			to := max(t.To, t.From+length/300)
@@ -193,7 +204,7 @@
 		return 1.25 * top
 	}
 	rpcs := panel(title+": RPCs by second, as they ended", "RPCs", most(func(s Second) float64 { return float64(s.InTime + s.Late + s.PushedBack + s.Aborted) }))
-	service := panel("service by second", "share", 1.05)
+	service := panel("service by second", "share", 1.25)
 	orders := panel("orders by second", "lines, messages", most(func(s Second) float64 { return float64(max(s.Lines, s.Messages)) }))
 	what := panel("troubles", "", float64(len(r.Troubles))+0.5)
 	what.Y.Tick.Marker = plot.ConstantTicks(nil)
@@ -225,10 +236,17 @@
 		}
 		what.Add(labels)
 	}
-	img := vgimg.New(12*vg.Inch, 13*vg.Inch)
-	dc := draw.New(img)
 	all := [][]*plot.Plot{{rpcs}, {service}, {orders}, {what}}
-	tiles := draw.Tiles{Rows: 4, Cols: 1, PadX: vg.Points(8), PadY: vg.Points(8), PadTop: vg.Points(8), PadBottom: vg.Points(8), PadLeft: vg.Points(8), PadRight: vg.Points(14)}
+	if r.Fleet != nil && len(r.Fleet.Busy) > 0 {
+		able, use, err := r.Fleet.panels(panel)
+		if err != nil {
+			return err
+		}
+		all = [][]*plot.Plot{{rpcs}, {service}, {able}, {use}, {orders}, {what}}
+	}
+	img := vgimg.New(12*vg.Inch, vg.Length(len(all))*3.25*vg.Inch)
+	dc := draw.New(img)
+	tiles := draw.Tiles{Rows: len(all), Cols: 1, PadX: vg.Points(8), PadY: vg.Points(8), PadTop: vg.Points(8), PadBottom: vg.Points(8), PadLeft: vg.Points(8), PadRight: vg.Points(14)}
 	canvases := plot.Align(all, tiles, dc)
 	for i := range all {
 		all[i][0].Draw(canvases[i][0])
