gingerfork emulate and gingerfork load: a fleet on loopback, and open-loop clients for it

Need: operators want to try coordinators and proxies of their own against emulated servers, and to ask for load whose own delays do not hide what they measure.

Both tell how late they did what was due, and mark a run as void when they fell behind.

--- /dev/null
+++ b/internal/emulator/fleet.go
@@ -0,0 +1,252 @@
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"gingerfork/internal/machine"
+	"gingerfork/internal/trace"
+)
+
+// Fleet is many emulated servers in one machine, each behind a door of its own, so that one loop carries hundreds. What
+// happens to whole processes happens to members: words are NAME kill, NAME start, or NAME and a server's word; * is all.
+type Fleet struct {
+	members []*member
+	byName  map[string]*member
+	of      map[machine.Conn]*member
+	due     fleetDue
+	began   machine.Seconds
+	tally   Tally
+	second  machine.Seconds
+	figures func(Tally)
+}
+
+// Tally is what a fleet did in about a second, and how it is.
+type Tally struct {
+	T                       machine.Seconds // since its start
+	Servers, Up, Cold, Down int             // Down: fallen, of those that are up
+	Able, Busy              float64         // RPCs a second that it could do, cores' share that is busy
+	Waiting                 int             // RPCs
+	Ran                     int             // RPCs begun
+	Near                    float64         // the nearest that a cold server came to falling, of its bound
+	Late                    machine.Seconds // the most that anything was done after it was due
+}
+
+type member struct {
+	name  string
+	trade Trade
+	lives int
+	s     *Server // nil: down
+	conns map[machine.Conn]bool
+	wake  machine.Seconds
+	at    int
+	in    []machine.Input
+}
+
+type fleetDue []*member
+
+func (d fleetDue) Len() int           { return len(d) }
+func (d fleetDue) Less(i, j int) bool { return d[i].wake < d[j].wake }
+func (d fleetDue) Swap(i, j int)      { d[i], d[j] = d[j], d[i]; d[i].at, d[j].at = i, j }
+func (d *fleetDue) Push(x any)        { m := x.(*member); m.at = len(*d); *d = append(*d, m) }
+func (d *fleetDue) Pop() any          { old := *d; x := old[len(old)-1]; *d = old[:len(old)-1]; return x }
+
+// NewFleet makes an empty one; figures, if not nil, is given what it did each second, by the goroutine that steps it.
+func NewFleet(figures func(Tally)) *Fleet {
+	return &Fleet{byName: map[string]*member{}, of: map[machine.Conn]*member{}, figures: figures, second: machine.Never}
+}
+
+// Add adds a server before the fleet is first stepped; its door is the number of those added before it. Its processes
+// after the first start cold.
+func (f *Fleet) Add(name string, t Trade) {
+	m := &member{name: name, trade: t, conns: map[machine.Conn]bool{}, wake: 0}
+	f.members = append(f.members, m)
+	f.byName[name] = m
+	f.start(m)
+	heap.Push(&f.due, m)
+}
+
+func (f *Fleet) start(m *member) {
+	t := m.trade
+	t.Cold = t.Cold || m.lives > 0
+	t.Seed += uint64(m.lives)
+	m.lives++
+	m.s = NewServer(t)
+}
+
+// Step implements machine.Machine.
+func (f *Fleet) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
+	if f.began == 0 {
+		f.began, f.second = now, now+1
+	}
+	var busy []*member
+	give := func(m *member, i machine.Input) {
+		if len(m.in) == 0 {
+			busy = append(busy, m)
+		}
+		m.in = append(m.in, i)
+	}
+	for _, i := range in {
+		switch i.Kind {
+		case machine.Told:
+			f.told(now, i.Text, give, out)
+		case machine.Opened:
+			m := f.members[i.Door]
+			if m.s == nil { // nobody listens there; a door can't be refused, so it is opened and shut
+				out.Kill(i.Conn)
+				continue
+			}
+			f.of[i.Conn], m.conns[i.Conn] = m, true
+			i.Door = 0
+			give(m, i)
+		default:
+			m := f.of[i.Conn]
+			if m == nil {
+				continue
+			}
+			if i.Kind == machine.Closed {
+				delete(f.of, i.Conn)
+				delete(m.conns, i.Conn)
+			}
+			give(m, i)
+		}
+	}
+	for len(f.due) > 0 && f.due[0].wake <= now {
+		f.step(now, f.due[0], out)
+	}
+	for _, m := range busy {
+		if len(m.in) > 0 {
+			f.step(now, m, out)
+		}
+	}
+	if now >= f.second {
+		f.second = now + 1
+		f.tell(now)
+	}
+	out.Wake = min(f.second, f.due[0].wake)
+}
+
+func (f *Fleet) step(now machine.Seconds, m *member, out *machine.Out) {
+	in := m.in
+	m.in = nil
+	if m.s == nil {
+		m.wake = machine.Never
+		heap.Fix(&f.due, m.at)
+		return
+	}
+	if m.s.model != nil {
+		if at := m.s.model.Wake(); !math.IsInf(at, 1) {
+			f.tally.Late = max(f.tally.Late, now-at)
+		}
+	}
+	acts, records := len(out.Acts), len(out.Trace)
+	out.Wake = machine.Never
+	m.s.Step(now, in, out)
+	for _, a := range out.Acts[acts:] {
+		if a.Kind == machine.Close || a.Kind == machine.Reset {
+			delete(f.of, a.Conn)
+			delete(m.conns, a.Conn)
+		}
+	}
+	for _, r := range out.Trace[records:] {
+		switch r.Kind {
+		case trace.Run:
+			f.tally.Ran++
+		case trace.Offer:
+			f.tally.Near = max(f.tally.Near, r.X)
+		}
+	}
+	m.wake = max(out.Wake, now+1e-6)
+	heap.Fix(&f.due, m.at)
+}
+
+func (f *Fleet) told(now machine.Seconds, text string, give func(*member, machine.Input), out *machine.Out) {
+	name, word, _ := strings.Cut(text, " ")
+	var all []*member
+	if name == "*" {
+		all = f.members
+	} else if m := f.byName[name]; m != nil {
+		all = []*member{m}
+	} else {
+		out.Log(2, "word not taken", "word", text, "cause", "there is no server "+name)
+		return
+	}
+	for _, m := range all {
+		switch {
+		case word == "kill" && m.s != nil:
+			m.s, m.in = nil, nil
+			out.Record(trace.Record{T: now, Kind: trace.Gone, EP: m.trade.EP})
+			var conns []machine.Conn
+			for c := range m.conns {
+				conns = append(conns, c)
+			}
+			slices.Sort(conns)
+			for _, c := range conns {
+				out.Kill(c)
+				delete(f.of, c)
+			}
+			clear(m.conns)
+		case word == "start" && m.s == nil:
+			f.start(m)
+			m.wake = now
+			heap.Fix(&f.due, m.at)
+		case word == "kill" || word == "start":
+		case m.s != nil:
+			give(m, machine.Input{Kind: machine.Told, Text: word})
+		}
+	}
+}
+
+// tell reckons the second's figures.
+func (f *Fleet) tell(now machine.Seconds) {
+	t := f.tally
+	t.T, t.Servers = now-f.began, len(f.members)
+	cores, used := 0, 0.0
+	for _, m := range f.members {
+		if m.s == nil || m.s.model == nil {
+			continue
+		}
+		t.Up++
+		if m.s.model.fallen {
+			t.Down++
+			continue
+		}
+		if m.s.model.Warmth(now) < 1 {
+			t.Cold++
+		}
+		t.Able += m.s.model.Able(now, 0)
+		_, waiting, share := m.s.model.Load()
+		t.Waiting += waiting
+		cores += m.trade.Cores
+		used += share * float64(m.trade.Cores)
+	}
+	if cores > 0 {
+		t.Busy = used / float64(cores)
+	}
+	f.tally = Tally{}
+	if f.figures != nil {
+		f.figures(t)
+	}
+}
+
+func (t Tally) String() string {
+	return fmt.Sprintf("%4.0f s: %d of %d servers up, %d cold, %d fallen; able %.0f RPCs/s, ran %d; cores %.0f%% busy, %d waiting; late %.1f ms",
+		t.T, t.Up, t.Servers, t.Cold, t.Down, t.Able, t.Ran, 100*t.Busy, t.Waiting, 1e3*t.Late)
+}
+
+// Sum adds the figures of another part of the fleet for the same second.
+func (t Tally) Sum(o Tally) Tally {
+	if t.Servers+o.Servers > 0 {
+		t.Busy = (t.Busy*float64(t.Servers) + o.Busy*float64(o.Servers)) / float64(t.Servers+o.Servers)
+	}
+	t.T = max(t.T, o.T)
+	t.Servers, t.Up, t.Cold, t.Down = t.Servers+o.Servers, t.Up+o.Up, t.Cold+o.Cold, t.Down+o.Down
+	t.Able, t.Waiting, t.Ran = t.Able+o.Able, t.Waiting+o.Waiting, t.Ran+o.Ran
+	t.Near, t.Late = max(t.Near, o.Near), max(t.Late, o.Late)
+	return t
+}
+
+var _ machine.Machine = (*Fleet)(nil)
--- a/internal/emulator/model.go
+++ b/internal/emulator/model.go
@@ -60,6 +60,7 @@
 	ReportNoise  float64 // off by a factor of this coefficient of variation
 	Keys         int     // that it remembers; 0: none
 	KeySaves     float64
+	Glance       Seconds // it tells of itself so often, for whoever watches the rehearsal; 0: never
 	Seed         uint64
 	Store        *Store
 	Ledger       *Ledger
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -18,6 +18,8 @@
 	model   *Model
 	readers map[machine.Conn]*proto.Reader
 	out     *machine.Out
+	glance  Seconds // when it tells of itself next
+	late    Seconds // the most since the last time
 }
 
 // NewServer makes one, whose process starts at its first step.
@@ -34,6 +36,7 @@
 			out.Record(trace.Record{T: now, Kind: trace.Start, EP: s.trade.EP, X: s.trade.Capacity([]float64{1})})
 		}
 	}
+	s.late = max(s.late, now-s.model.Wake())
 	s.do(now, s.model.Advance(now))
 	for _, i := range in {
 		switch i.Kind {
@@ -58,6 +61,21 @@
 	if at := s.model.Wake(); !math.IsInf(at, 1) {
 		out.At(at)
 	}
+	if every := s.trade.Glance; every > 0 {
+		if now >= s.glance {
+			s.glance = now + every
+			s.look(now)
+		}
+		out.At(s.glance)
+	}
+}
+
+// look tells how it is, and how late it did what was due.
+func (s *Server) look(now machine.Seconds) {
+	_, waiting, busy := s.model.Load()
+	s.out.Record(trace.Record{T: now, Kind: trace.Glance, EP: s.trade.EP, X: s.model.Able(now, 0), N: int64(waiting), Text: strconv.FormatFloat(busy, 'g', 3, 64)})
+	s.out.Record(trace.Record{T: now, Kind: trace.Late, EP: s.trade.EP, X: max(0, s.late)})
+	s.late = 0
 }
 
 func (s *Server) read(c machine.Conn, r *proto.Reader) {
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -378,7 +378,7 @@
 		case "over":
 			d.Shape.Day, err = bootstrap.Duration(v)
 		case "bursts":
-			d.Shape.Height, err = load(v)
+			d.Shape.Height, err = Percent(v)
 		case "every":
 			d.Shape.Every, err = bootstrap.Duration(v)
 		case "lasting":
@@ -581,7 +581,7 @@
 	case "share":
 		var x float64
 		if a.Verb == "load" {
-			x, err = load(a.By)
+			x, err = Percent(a.By)
 		} else {
 			x, err = bootstrap.Share(a.By)
 		}
@@ -604,8 +604,8 @@
 	return a, err
 }
 
-// load reads a percentage that may be above 100%.
-func load(w string) (float64, error) {
+// Percent reads a percentage that may be above 100%.
+func Percent(w string) (float64, error) {
 	num, ok := strings.CutSuffix(w, "%")
 	v, err := bootstrap.Number(num)
 	if !ok || err != nil {
--- /dev/null
+++ b/internal/rehearse/emulate.go
@@ -0,0 +1,259 @@
+package rehearse
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/emulator"
+	"gingerfork/internal/loop"
+	"gingerfork/internal/machine"
+	"gingerfork/internal/standin"
+	"gingerfork/internal/trace"
+	"gingerfork/internal/virtual"
+)
+
+// Emulation is a day's servers and list service on the loopback address, for coordinators and proxies of one's own. It
+// may be spread over processes: each plays its part of the servers, the first one the list service, too.
+type Emulation struct {
+	Day         *Day
+	Port        int                  // of the list service; servers have those behind it
+	Part, Parts int                  // from 1; 0: all in this process
+	Loops       int                  // that carry the servers; 0: one
+	Figures     func(emulator.Tally) // of each second
+	Event       func(text string)    // what the script does
+	Trace       func([]trace.Record)
+}
+
+// ListAddr is where the list service listens.
+func (e Emulation) ListAddr() string { return fmt.Sprintf("127.0.0.1:%d", e.Port) }
+
+// Addr is where a server listens.
+func (e Emulation) Addr(server int) string { return fmt.Sprintf("127.0.0.1:%d", e.Port+1+server) }
+
+// elsewhere are the verbs that need more than servers and a list: links, coordinators, front ends.
+func elsewhere(a Act) bool {
+	switch a.Of {
+	case "servers":
+		return a.Verb == "cut" || a.Verb == "silence" || a.With == "silence"
+	case "zone":
+		return a.Verb != "lose"
+	case "list":
+		return a.Verb == "cut"
+	}
+	return true
+}
+
+// Check tells which lines of a day can't be emulated without the rest of it, and what else is wrong.
+func (e Emulation) Check() error {
+	var faults bootstrap.Faults
+	for _, a := range e.Day.Acts {
+		if elsewhere(a) {
+			faults = append(faults, a.Line.Fault("%s %s is not in an emulated fleet's hands: play the day by rehearse, or take the line out", a.Verb, a.Of))
+		}
+	}
+	n := 0
+	for _, g := range e.Day.Servers {
+		n += g.N
+	}
+	switch {
+	case len(faults) > 0:
+		return faults.Err()
+	case e.Port < 1024 || e.Port+n > 65535:
+		return fmt.Errorf("ports from %d on do not hold a list service and %d servers", e.Port, n)
+	case e.Parts < 0 || e.Part > e.Parts || e.Parts > 0 && e.Part < 1:
+		return fmt.Errorf("part %d of %d does not exist", e.Part, e.Parts)
+	}
+	return nil
+}
+
+// emulation is the stage on which it plays.
+type emulation struct {
+	Emulation
+	cast    *cast
+	clock   *loop.Clock
+	owner   map[string]*loop.Loop // by server
+	list    *loop.Loop
+	due     []timed
+	mu      sync.Mutex
+	seconds map[int]emulator.Tally
+	parts   map[int]int
+}
+
+// Run plays it until the day or ctx ends.
+func (e Emulation) Run(ctx context.Context) (err error) {
+	if err := e.Check(); err != nil {
+		return err
+	}
+	c := newCast(e.Day)
+	s := &emulation{Emulation: e, cast: c, clock: loop.NewClock(), owner: map[string]*loop.Loop{}, seconds: map[int]emulator.Tally{}, parts: map[int]int{}}
+	c.stage = s
+	c.record = func(r trace.Record) {
+		if e.Trace != nil {
+			e.Trace([]trace.Record{r})
+		}
+		if r.Kind == trace.Trouble && e.Event != nil {
+			e.Event(r.Text)
+		}
+	}
+	inner, cancel := context.WithCancel(context.Background())
+	var loops []*loop.Loop
+	defer func() {
+		cancel()
+		for _, l := range loops {
+			if bad := l.Wait(); err == nil && bad != nil {
+				err = fmt.Errorf("emulate: %w", bad)
+			}
+		}
+	}()
+	var mine []*actor
+	for i, a := range c.servers {
+		if e.Parts == 0 || i%e.Parts == e.Part-1 {
+			mine = append(mine, a)
+		}
+	}
+	n := min(max(1, e.Loops), max(1, len(mine)))
+	store := c.store()
+	for k := range n {
+		fleet := emulator.NewFleet(func(t emulator.Tally) { s.tally(k, n, t) })
+		b := loop.Bootstrap{Machine: fleet, Clock: s.clock, Trace: e.Trace}
+		var names []string
+		for i, a := range mine {
+			if i%n != k {
+				continue
+			}
+			t := c.trade(a, store)
+			if n > 1 || e.Parts > 1 {
+				t.Store = &emulator.Store{Group: e.Day.Tokens, Window: store.Window} // what one loop or process owns, another can't see
+			}
+			fleet.Add(a.name, t)
+			b.Listen = append(b.Listen, e.Addr(a.at))
+			names = append(names, a.name)
+		}
+		if len(names) == 0 {
+			continue
+		}
+		l, err := loop.Start(inner, b)
+		if err != nil {
+			return fmt.Errorf("emulate servers: %w", err)
+		}
+		loops = append(loops, l)
+		for _, name := range names {
+			s.owner[name] = l
+		}
+	}
+	if e.Part <= 1 {
+		list := standin.NewList(c.listings(func(a *actor) string { return e.Addr(a.at) }))
+		if s.list, err = loop.Start(inner, loop.Bootstrap{Machine: list, Listen: []string{e.ListAddr()}, Clock: s.clock}); err != nil {
+			return fmt.Errorf("emulate the list service: %w", err)
+		}
+		loops = append(loops, s.list)
+	}
+	c.begin = s.clock.Now()
+	for _, a := range c.servers {
+		a.up, a.lives = true, 1
+	}
+	for _, a := range e.Day.Acts {
+		s.At(c.begin+a.At, func() { c.act(a) })
+	}
+	return s.run(ctx, c.begin+e.Day.Length, loops)
+}
+
+// tally gathers the loops' figures of a second.
+func (s *emulation) tally(k, n int, t emulator.Tally) {
+	if s.Figures == nil {
+		return
+	}
+	s.mu.Lock()
+	at := int(t.T + 0.5)
+	sum := t
+	if s.parts[at] > 0 {
+		sum = s.seconds[at].Sum(t)
+	}
+	s.seconds[at] = sum
+	s.parts[at]++
+	whole := s.parts[at] == n
+	if whole {
+		delete(s.seconds, at)
+		delete(s.parts, at)
+	}
+	s.mu.Unlock()
+	if whole {
+		s.Figures(sum)
+	}
+}
+
+func (s *emulation) run(ctx context.Context, until machine.Seconds, loops []*loop.Loop) error {
+	failed := make(chan struct{})
+	var once sync.Once
+	var watch sync.WaitGroup
+	over := make(chan struct{})
+	defer watch.Wait()
+	defer close(over)
+	for _, l := range loops {
+		watch.Add(1)
+		go func() {
+			defer watch.Done()
+			select {
+			case <-l.Done():
+				once.Do(func() { close(failed) })
+			case <-over:
+			}
+		}()
+	}
+	for {
+		now := s.clock.Now()
+		if now >= until {
+			return nil
+		}
+		next, at := until, -1
+		for i, t := range s.due {
+			if t.at < next {
+				next, at = t.at, i
+			}
+		}
+		if at >= 0 && next <= now {
+			do := s.due[at].do
+			s.due = slices.Delete(s.due, at, at+1)
+			do()
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-failed:
+			return errors.New("a part of the fleet ended by itself")
+		case <-time.After(time.Duration(max(0, next-now) * 1e9)):
+		}
+	}
+}
+
+func (s *emulation) Now() machine.Seconds { return s.clock.Now() }
+
+func (s *emulation) At(at machine.Seconds, do func()) { s.due = append(s.due, timed{at, do}) }
+
+func (s *emulation) Start(name string) { s.Tell(name, "start") }
+
+func (s *emulation) Kill(name string) { s.Tell(name, "kill") }
+
+func (s *emulation) Stall(string, machine.Seconds) {}
+
+func (s *emulation) Hinder(string, virtual.Hindrance, func(a, b string) bool) {}
+
+func (s *emulation) Clear(string) {}
+
+func (s *emulation) Reset(func(a, b string) bool) {}
+
+func (s *emulation) Tell(name, text string) {
+	switch l := s.owner[name]; {
+	case name == "list" && s.list != nil:
+		s.list.Tell(text)
+	case l != nil:
+		l.Tell(name + " " + strings.TrimSpace(text))
+	}
+}
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -54,6 +54,7 @@
 	begin   machine.Seconds
 	spoil   map[string]any // values given to coordinators in place of the settings'
 	zoneCut map[string]int // how many cuts part a zone from the others
+	glance  float64        // servers tell of themselves so often; 0: they don't
 }
 
 type actor struct {
@@ -116,18 +117,27 @@
 	return all
 }
 
-// server makes an emulated server of a group's capacity.
+// server makes an emulated server for its next life.
 func (c *cast) server(a *actor, store *emulator.Store) *emulator.Server {
-	b := choice.Bootstrap{Values: c.day.Trade.Values}
 	a.lives++
+	t := c.trade(a, store)
+	t.Cold = a.lives > 1
+	t.Seed += uint64(a.lives)
+	t.Glance = c.glance
+	return emulator.NewServer(t)
+}
+
+// trade is what a server of its group is.
+func (c *cast) trade(a *actor, store *emulator.Store) emulator.Trade {
+	b := choice.Bootstrap{Values: c.day.Trade.Values}
 	g := a.group
 	work := g.Work
 	work.Mean = float64(g.Workers) / g.Capacity
-	return emulator.NewServer(emulator.Trade{EP: uint32(a.ep), Zone: a.zone, Cores: g.Workers, Speed: 1, Work: []emulator.Work{work}, QueueMost: g.Queue,
-		GiveUp: g.GiveUp, Cold: a.lives > 1, ColdShare: b.Num("cold_share", 0.3), WarmAfter: b.Num("warm_after", 10),
+	return emulator.Trade{EP: uint32(a.ep), Zone: a.zone, Cores: g.Workers, Speed: 1, Work: []emulator.Work{work}, QueueMost: g.Queue,
+		GiveUp: g.GiveUp, ColdShare: b.Num("cold_share", 0.3), WarmAfter: b.Num("warm_after", 10),
 		FallMultiple: b.Num("fall_multiple", 3), FallWindow: b.Num("fall_window", 1), ProbeWork: work.Mean / 10, ProbesMost: 10,
-		ConnWork: work.Mean / 10, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives), Store: store,
-		Cell: g.Cell, Connections: g.Conns, Reports: g.Reports, ReportLate: g.Late, ReportNoise: g.Noise, Keys: g.Memory, KeySaves: g.Saves})
+		ConnWork: work.Mean / 10, Seed: standin.Seed(c.day.Seed, a.name), Store: store,
+		Cell: g.Cell, Connections: g.Conns, Reports: g.Reports, ReportLate: g.Late, ReportNoise: g.Noise, Keys: g.Memory, KeySaves: g.Saves}
 }
 
 func (c *cast) front(a *actor, coords []string) *standin.FrontEnd {
@@ -143,7 +153,7 @@
 	}
 	return standin.NewFrontEnd(standin.FrontTrade{Name: a.name, Zone: a.zone, Coordinators: order, Methods: c.day.methods(),
 		Rate: a.rate, Pick: pick, Begin: c.begin, Shape: c.day.Shape, Keys: c.day.Keys, Strikes: int(b.Num("strikes", 0)), KeepAway: c.day.KeepAway, TryWait: b.Num("try_wait", 0.8),
-		LineStill: c.day.LineStill, LevelRate: b.Word("level_kind") == "rate", Period: b.Num("report_period", 1),
+		LineStill: c.day.LineStill, LevelRate: b.Word("level_kind") == "rate", Period: b.Num("report_period", 1), Watch: c.glance > 0,
 		ConnectTimeout: c.day.Connect, ComeAgain: c.day.ComeAgain, AgainWait: c.day.AgainWait, AgainMost: c.day.AgainMost, Seed: standin.Seed(c.day.Seed, a.name) + uint64(a.lives)})
 }
 
--- a/internal/report/fleet.go
+++ b/internal/report/fleet.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"image/color"
 	"math"
+	"strconv"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+
+	"gingerfork/internal/trace"
 )
 
 // seconds puts marks at round numbers of seconds, about ten of them.
@@ -66,6 +69,8 @@
 
 // panels draw what the servers could do beside what they did, and each server's use.
 func (f *Fleet) panels(panel func(name, unit string, most float64) *plot.Plot) (able, use *plot.Plot, err error) {
+	f.servers = max(f.servers, len(f.Busy[0]))
+	f.even()
 	could, did := make(plotter.XYs, len(f.Able)), make(plotter.XYs, len(f.Able))
 	top := 1.0
 	for i := range f.Able {
@@ -100,3 +105,45 @@
 	use.X.Min, use.X.Max = able.X.Min, able.X.Max
 	return able, use, nil
 }
+
+// glance takes what a server told of itself in a second.
+func (k *Maker) glance(second int, x trace.Record) {
+	f := k.Report.Fleet
+	if f == nil {
+		f = &Fleet{Step: 1}
+		k.Report.Fleet = f
+	}
+	at := int(x.EP) - 1
+	if at < 0 || at >= 1<<16 {
+		return
+	}
+	busy, err := strconv.ParseFloat(x.Text, 32)
+	if err != nil {
+		return
+	}
+	set := func(rows *[][]float32, v float64) {
+		for len(*rows) <= second {
+			*rows = append(*rows, make([]float32, f.servers))
+		}
+		row := &(*rows)[second]
+		for len(*row) <= at {
+			*row = append(*row, 0)
+		}
+		(*row)[at] = float32(v)
+	}
+	f.servers = max(f.servers, at+1)
+	set(&f.Able, x.X)
+	set(&f.Busy, busy)
+	set(&f.Waits, float64(x.N))
+}
+
+// even makes all rows as long as the longest: servers tell of themselves one after another.
+func (f *Fleet) even() {
+	for _, rows := range [][][]float32{f.Able, f.Busy, f.Waits} {
+		for i := range rows {
+			for len(rows[i]) < f.servers {
+				rows[i] = append(rows[i], 0)
+			}
+		}
+	}
+}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -54,6 +54,8 @@
 	Busy  [][]float32 // the share of its cores that was busy
 	Waits [][]float32 // RPCs that waited there
 	Most  float64     // the most service that the day allowed; 0: not known
+
+	servers int
 }
 
 // Report is a day's figures.
@@ -66,71 +68,110 @@
 	Poorest   string  // the method with the least service,
 	PoorestBy float64 // and that
 	Fleet     *Fleet  // nil: nobody looked
+	Service   float64
+	Behind    Behind
 }
 
-// Make reckons the figures of a trace whose records are in the order of time.
-func Make(records []trace.Record, methods []rules.Method) (*Report, error) {
-	r := &Report{}
-	if len(records) == 0 {
-		return r, nil
+// Maker reckons a report while records come, and keeps none of them.
+type Maker struct {
+	Report  *Report
+	methods []rules.Method
+	begun   bool
+	begin   float64
+	end     float64
+	took    []*hdrhistogram.Histogram
+	asked   []float64
+	weighed []float64
+	glances int // and of them
+	late    int
+}
+
+// NewMaker makes one.
+func NewMaker(methods []rules.Method) *Maker {
+	k := &Maker{Report: &Report{}, methods: methods, asked: make([]float64, len(methods)), weighed: make([]float64, len(methods))}
+	for range methods {
+		k.took = append(k.took, hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3))
 	}
-	begin := records[0].T
-	at := func(t float64) *Second {
-		i := int(t - begin)
-		for len(r.Seconds) <= i {
-			r.Seconds = append(r.Seconds, Second{})
-		}
-		return &r.Seconds[i]
+	return k
+}
+
+// Add takes a record; they come about in the order of time.
+func (k *Maker) Add(x trace.Record) error {
+	r := k.Report
+	if !k.begun {
+		k.begun, k.begin = true, x.T
 	}
-	var took []*hdrhistogram.Histogram
-	for range methods {
-		took = append(took, hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3))
+	k.end = max(k.end, x.T-k.begin)
+	i := max(0, int(x.T-k.begin))
+	for len(r.Seconds) <= i {
+		r.Seconds = append(r.Seconds, Second{})
 	}
-	asked, weighed := make([]float64, len(methods)), make([]float64, len(methods))
-	end := records[len(records)-1].T - begin
-	for _, x := range records {
-		s := at(x.T)
-		switch x.Kind {
-		case trace.Push:
-			s.Messages++
-			s.Lines += int(x.X)
-		case trace.Trouble:
-			t := Trouble{From: x.T - begin, To: min(end, x.T-begin+x.X), Text: x.Text}
-			r.Troubles = append(r.Troubles, t)
-		case trace.End:
-			if x.Method >= len(methods) {
-				return nil, fmt.Errorf("a record of method %d, of %d", x.Method, len(methods))
+	s := &r.Seconds[i]
+	switch x.Kind {
+	case trace.Push:
+		s.Messages++
+		s.Lines += int(x.X)
+	case trace.Trouble:
+		r.Troubles = append(r.Troubles, Trouble{From: x.T - k.begin, To: x.T - k.begin + x.X, Text: x.Text})
+	case trace.Glance:
+		k.glance(i, x)
+	case trace.Late:
+		k.glances++
+		if x.X > LateMost {
+			k.late++
+		}
+		r.Behind.Worst = max(r.Behind.Worst, x.X)
+	case trace.End:
+		if x.Method >= len(k.methods) {
+			return fmt.Errorf("a record of method %d, of %d", x.Method, len(k.methods))
+		}
+		m := k.methods[x.Method]
+		s.Asked += m.Criticality
+		k.asked[x.Method] += m.Criticality
+		switch {
+		case x.Text == "ok":
+			if err := k.took[x.Method].RecordValue(max(1, int64(x.X*1e6))); err != nil {
+				return fmt.Errorf("an answer after %v s: %w", x.X, err)
 			}
-			m := methods[x.Method]
-			s.Asked += m.Criticality
-			asked[x.Method] += m.Criticality
-			switch {
-			case x.Text == "ok":
-				if err := took[x.Method].RecordValue(max(1, int64(x.X*1e6))); err != nil {
-					return nil, fmt.Errorf("an answer after %v s: %w", x.X, err)
-				}
-				if x.X <= m.SoftDeadline {
-					s.InTime++
-					s.Weighed += m.Criticality
-					weighed[x.Method] += m.Criticality
-				} else {
-					s.Late++
-				}
-			case x.Text == "pushed back":
-				s.PushedBack++
-			default:
-				s.Aborted++
+			if x.X <= m.SoftDeadline {
+				s.InTime++
+				s.Weighed += m.Criticality
+				k.weighed[x.Method] += m.Criticality
+			} else {
+				s.Late++
 			}
+		case x.Text == "pushed back":
+			s.PushedBack++
+		default:
+			s.Aborted++
 		}
 	}
-	r.PoorestBy = math.Inf(1)
-	for i, m := range methods {
-		h := took[i]
+	return nil
+}
+
+// Done reckons what is of the whole, and gives the report.
+func (k *Maker) Done() *Report {
+	r := k.Report
+	if k.glances > 0 {
+		r.Behind.Share = float64(k.late) / float64(k.glances)
+	}
+	for i := range r.Troubles {
+		r.Troubles[i].To = min(r.Troubles[i].To, k.end)
+	}
+	r.Latencies, r.Poorest, r.PoorestBy = nil, "", math.Inf(1)
+	asked, weighed := 0.0, 0.0
+	for i, m := range k.methods {
+		h := k.took[i]
 		q := func(p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1e6 }
 		r.Latencies = append(r.Latencies, Latency{m.Name, h.TotalCount(), q(50), q(90), q(99), float64(h.Max()) / 1e6})
-		if asked[i] > 0 && weighed[i]/asked[i] < r.PoorestBy {
-			r.Poorest, r.PoorestBy = m.Name, weighed[i]/asked[i]
+		if k.asked[i] > 0 && k.weighed[i]/k.asked[i] < r.PoorestBy {
+			r.Poorest, r.PoorestBy = m.Name, k.weighed[i]/k.asked[i]
 		}
+		asked, weighed = asked+k.asked[i], weighed+k.weighed[i]
+	}
+	r.Service = 1
+	if asked > 0 {
+		r.Service = weighed / asked
 	}
 	r.Worst10 = 1
 	for i := 0; i+10 <= len(r.Seconds); i++ {
@@ -142,12 +183,43 @@
 			r.Worst10, r.WorstAt = sum.Service(), i
 		}
 	}
-	return r, nil
+	return r
 }
 
+// Make reckons the figures of a trace whose records are in the order of time.
+func Make(records []trace.Record, methods []rules.Method) (*Report, error) {
+	k := NewMaker(methods)
+	for _, x := range records {
+		if err := k.Add(x); err != nil {
+			return nil, err
+		}
+	}
+	return k.Done(), nil
+}
+
+// LateMost is how late, in seconds, an emulated server or a source of load may do what was due before its figures are
+// in doubt: a fortieth of a soft deadline of 800 ms, less than what chance makes of a mean wait.
+const LateMost = 0.02
+
+// Behind tells how far those that emulate fell behind real time.
+type Behind struct {
+	Share float64 // of all looks, one a second and party, those that found something done more than LateMost late
+	Worst float64 // seconds
+}
+
+// Void tells whether the emulation fell so far behind that the figures are its own, not the fleet's: more than one look in
+// a hundred found it late, or it once stood still for a quarter of a second.
+func (b Behind) Void() bool { return b.Share > 0.01 || b.Worst > 0.25 }
+
 // Text writes the figures that a terminal shows.
 func (r *Report) Text(out io.Writer) {
 	fmt.Fprintf(out, "poorest ten seconds from %d s: service %.3f; poorest method %s: %.3f\n", r.WorstAt, r.Worst10, r.Poorest, r.PoorestBy)
+	if r.Behind.Worst > 0 {
+		fmt.Fprintf(out, "emulation at most %.1f ms late, more than %.0f ms in %.2f%% of looks\n", 1e3*r.Behind.Worst, 1e3*LateMost, 100*r.Behind.Share)
+	}
+	if r.Behind.Void() {
+		fmt.Fprintln(out, "VOID: the emulation fell behind; ask for less, or give it more cores")
+	}
 	for _, l := range r.Latencies {
 		fmt.Fprintf(out, "%s: %d ok, median %.0f ms, 90th %.0f, 99th %.0f, worst %.0f\n", l.Method, l.N, 1e3*l.P50, 1e3*l.P90, 1e3*l.P99, 1e3*l.Worst)
 	}
--- a/internal/standin/frontend.go
+++ b/internal/standin/frontend.go
@@ -63,6 +63,8 @@
 	LineStill      machine.Seconds
 	LevelRate      bool // levels are rates, not shares
 	Period         machine.Seconds
+	Watch          bool         // it tells how late it did what was due
+	Fixed          []proto.Line // its one table, in place of a coordinator's
 	ConnectTimeout machine.Seconds
 	Seed           uint64
 	// Clients whose RPC failed come again, with this chance, after about so long, at most so many times: idempotent and
@@ -77,8 +79,9 @@
 	trade  FrontTrade
 	dice   emulator.Dice
 	source *traffic.Source
-	due    uint64 // counts the arrivals that were put on the clock
-	self   uint64 // upper half of its RPCs' numbers
+	late   machine.Seconds // the most that an arrival was late, since the last report
+	due    uint64          // counts the arrivals that were put on the clock
+	self   uint64          // upper half of its RPCs' numbers
 	timers timers
 	out    *machine.Out
 	conns  machine.Conn
@@ -191,7 +194,11 @@
 		for m := range f.usage {
 			f.usage[m].Method = uint64(m)
 		}
-		f.dial(now)
+		if f.trade.Fixed == nil {
+			f.dial(now)
+		} else {
+			f.do(proto.Op{Kind: proto.OpBind, Lines: f.trade.Fixed}, &strings.Builder{})
+		}
 		f.timers.at(now+f.trade.Period*(0.5+f.dice.Draw()), f.report)
 		f.self = Seed(0, fmt.Sprint(f.trade.Name, f.trade.Seed)) << 32
 		begin := f.trade.Begin
@@ -451,6 +458,14 @@
 // report sends what was met since the last one; an empty one too, as a sign of life.
 func (f *FrontEnd) report(now machine.Seconds) {
 	f.timers.at(now+f.trade.Period, f.report)
+	if f.trade.Watch {
+		f.out.Record(trace.Record{T: now, Kind: trace.Late, Who: f.trade.Name, X: f.late})
+		f.late = 0
+	}
+	if f.trade.Fixed != nil {
+		f.clearSums(now)
+		return
+	}
 	if !f.joined {
 		if f.stream != 0 && now-f.heard > 4*f.trade.Period {
 			f.out.Kill(f.stream)
@@ -490,6 +505,7 @@
 	if d, any := f.source.Next(now); any {
 		f.timers.at(d.At, func(now machine.Seconds) {
 			if f.due == life {
+				f.late = max(f.late, now-max(d.At, f.still))
 				f.await(d.At) // from when it was due: a process that stood still has them all to serve
 				f.arrive(now, d)
 			}
@@ -497,6 +513,15 @@
 	}
 }
 
+// clearSums forgets what was met, where nobody is told.
+func (f *FrontEnd) clearSums(now machine.Seconds) {
+	for m := range f.usage {
+		f.usage[m] = proto.Usage{Method: uint64(m)}
+	}
+	clear(f.sums)
+	f.since = now
+}
+
 // arrive: a client's RPC comes.
 func (f *FrontEnd) arrive(now machine.Seconds, d traffic.Due) {
 	f.count++
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -32,6 +32,8 @@
 	Heal    = "heal"    // Who: proxy or list service, Of: coordinator: it does again
 	Stall   = "stall"   // Who: a coordinator or proxy that does not run, X: for so many seconds
 	Trouble = "trouble" // Text: what the script did, X: for how many seconds
+	Late    = "late"    // Who or EP: a party that emulates did something later than it was due, X: the most seconds in the last one
+	Glance  = "glance"  // EP: X: RPCs a second that it could do, N: waiting, Text: share of its cores that was busy
 	Offer   = "offer"   // EP, X: capacity at present, N: RPCs that came in the window (when near its bound)
 )
 
