--- /dev/null
+++ b/cmd/gingerfork/emulate_test.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// freePort finds a port behind which so many more are free.
+func freePort(t *testing.T, n int) int {
+	t.Helper()
+	for at := 21000; at < 32000; at += n + 1 {
+		var held []net.Listener
+		for i := range n + 1 {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", at+i))
+			if err != nil {
+				break
+			}
+			held = append(held, l)
+		}
+		for _, l := range held {
+			l.Close()
+		}
+		if len(held) == n+1 {
+			return at
+		}
+	}
+	t.Skip("no free ports")
+	return 0
+}
+
+const emulated = "day quiet\nsettings perth.conf\nlength 5s\nservers 4 capacity 100 reports 50ms noise 10% memory 10 saves 20%\nfrontends 1\nmix 70% 30%\n"
+
+// A fleet in two processes' parts, asked open loop: both tell what they did, and what the script says happens.
+func TestEmulateAndLoad(t *testing.T) {
+	port := freePort(t, 4)
+	day := write(t, "quiet.day", emulated+"at 2s hang servers 1 for 1s\n")
+	var work sync.WaitGroup
+	outs := make([]string, 2)
+	for k := range 2 {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			code, out, err := call("emulate", day, "--port", fmt.Sprint(port), "--part", fmt.Sprintf("%d/2", k+1))
+			if outs[k] = out; code != good {
+				// A machine busy with other tests may make it late; that it says so is right.
+				if !strings.Contains(err, "VOID") {
+					t.Errorf("part %d: %d %s", k+1, code, err)
+				}
+			}
+		}()
+	}
+	args := []string{"load", "--settings", write(t, "perth.conf", perth(t)), "--rate", "60", "--proxies", "4", "--for", "3s", "--json",
+		"--wave", "20%", "--over", "3s", "--bursts", "150%", "--every", "1s", "--lasting", "200ms", "--keys", "50", "--again", "50%", "--mix", "60%", "--mix", "40%"}
+	for i := range 4 {
+		args = append(args, "--server", fmt.Sprintf("127.0.0.1:%d", port+1+i))
+	}
+	_, out, errOut := call(args...)
+	work.Wait()
+	var r struct {
+		Seconds []struct{ InTime, Late, PushedBack, Aborted int }
+	}
+	if err := json.Unmarshal([]byte(out), &r); err != nil {
+		t.Fatalf("%v: %s %s", err, out, errOut)
+	}
+	ok, all := 0, 0
+	for _, s := range r.Seconds {
+		ok += s.InTime + s.Late
+		all += s.InTime + s.Late + s.PushedBack + s.Aborted
+	}
+	if all < 100 || ok < all/2 {
+		t.Errorf("%d of %d RPCs answered", ok, all)
+	}
+	for k, o := range outs {
+		if !strings.Contains(o, "2 of 2 servers up") || !strings.Contains(o, "hang servers 1") {
+			t.Errorf("part %d printed %s", k+1, o)
+		}
+	}
+}
+
+// Bad questions get one clear message.
+func TestEmulateAndLoadRefuse(t *testing.T) {
+	conf := write(t, "perth.conf", perth(t))
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"emulate", write(t, "cut.day", emulated+"at 1s cut zone dc-malaga for 1s\n")}, "cut.day:7: cut zone is not in an emulated fleet's hands"},
+		{[]string{"emulate", write(t, "s.day", emulated+"at 1s flap servers 1 by 1s for 2s with silence\n")}, "s.day:7: flap servers"},
+		{[]string{"emulate", write(t, "p.day", emulated), "--part", "3/2"}, "part 3 of 2 does not exist"},
+		{[]string{"emulate", write(t, "p.day", emulated), "--part", "one"}, "is not K/N"},
+		{[]string{"emulate", write(t, "p.day", emulated), "--port", "65534"}, "do not hold"},
+		{[]string{"emulate", write(t, "w.day", strings.Replace(emulated, "noise 10%", "noise ten", 1))}, "w.day:4: noise"},
+		{[]string{"load", "--settings", conf}, "either coordinators or servers"},
+		{[]string{"load", "--settings", conf, "--server", "127.0.0.1:1", "--wave", "x"}, "wave"},
+		{[]string{"load", "--settings", conf, "--server", "127.0.0.1:1", "--mix", "50%"}, "mix has 1 shares, the settings have 2 methods"},
+		{[]string{"load", "--settings", conf, "--server", "127.0.0.1:1", "--keys", "5", "--zipf", "99"}, "exponent"},
+	} {
+		code, out, err := call(c.args...)
+		if code == good || !strings.Contains(err, c.want) || strings.Count(strings.TrimSpace(err), "\n") > 0 {
+			t.Errorf("%v: %d %q %q", c.args, code, out, err)
+		}
+	}
+}
--- a/cmd/gingerfork/measure.go
+++ b/cmd/gingerfork/measure.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 
 	"gingerfork/internal/measure"
 )
 
 type measureCmd struct {
-	Which []string `arg:"" optional:"" help:"drains, joins or idle; none: all." enum:"drains,joins,idle"`
+	Which   []string `arg:"" optional:"" help:"drains, joins, idle, emulator or retries; none: all." enum:"drains,joins,idle,emulator,retries"`
+	Picture string   `help:"Draw goodput against offered load (retries) to this PNG file." placeholder:"FILE"`
 }
 
 func (c measureCmd) Run(p *program, ctx context.Context) error {
@@ -17,5 +19,14 @@
 	if err != nil {
 		return fmt.Errorf("find this program, to start a coordinator with it: %w", err)
 	}
-	return measure.Run(ctx, p.out, []string{exe, "--log-level", "error", "serve"}, c.Which)
+	var picture io.Writer
+	if c.Picture != "" {
+		f, err := os.Create(c.Picture)
+		if err != nil {
+			return fmt.Errorf("draw the picture: %w", err)
+		}
+		defer f.Close()
+		picture = f
+	}
+	return measure.Run(ctx, p.out, []string{exe, "--log-level", "error", "serve"}, c.Which, picture)
 }
--- a/cmd/gingerfork/rehearse.go
+++ b/cmd/gingerfork/rehearse.go
@@ -75,7 +75,7 @@
 			}
 		}
 		if c.JSON {
-			err = printJSON(p.out, r)
+			err = printJSON(p.out, r, figures)
 		} else {
 			printResult(p.out, r, c.Virtual)
 			figures.Text(p.out)
@@ -275,7 +275,7 @@
 		if v.Broken > 0 {
 			result = fmt.Sprintf("BROKEN %d times", v.Broken)
 		}
-		fmt.Fprintf(t, "%d\t%s\t%s\t%.0f%%  %s\n", v.Rule, v.Name, result, 100*v.Nearest, v.Note)
+		fmt.Fprintf(t, "%d\t%s\t%s\t%.0f%% at %.1f s  %s\n", v.Rule, v.Name, result, 100*v.Nearest, v.At, v.Note)
 	}
 	t.Flush()
 	for _, v := range r.Report.Rules {
@@ -292,7 +292,7 @@
 	}
 }
 
-func printJSON(out io.Writer, r rehearse.Result) error {
+func printJSON(out io.Writer, r rehearse.Result, figures *report.Report) error {
 	type rule struct {
 		Rule    int     `json:"rule"`
 		Name    string  `json:"name"`
@@ -302,14 +302,15 @@
 		Record  int     `json:"record,omitempty"`
 		Why     string  `json:"why,omitempty"`
 		Nearest float64 `json:"nearest"`
+		Moment  float64 `json:"nearest_at"`
 		Note    string  `json:"note,omitempty"`
 	}
 	var rules []rule
 	for _, v := range r.Report.Rules {
-		rules = append(rules, rule{v.Rule, v.Name, v.Broken, v.T, v.Who, v.Record, v.Why, v.Nearest, v.Note})
+		rules = append(rules, rule{v.Rule, v.Name, v.Broken, v.T, v.Who, v.Record, v.Why, v.Nearest, v.At, v.Note})
 	}
 	s := r.Report.Service
 	return json.NewEncoder(out).Encode(map[string]any{"day": r.Day.Name, "seed": r.Day.Seed, "length": r.Report.Length, "rules": rules,
 		"service": s.Share(), "rpcs": s.RPCs, "ok": s.OK, "late": s.Late, "pushed_back": s.PushedBack, "aborted": s.Aborted,
-		"tries": r.Report.Tries, "messages": r.Report.Pushes, "lines": r.Report.Lines, "falls": r.Report.Falls, "defects": r.Fails})
+		"tries": r.Report.Tries, "messages": r.Report.Pushes, "lines": r.Report.Lines, "falls": r.Report.Falls, "defects": r.Fails, "figures": figures})
 }
--- /dev/null
+++ b/internal/emulator/fleet_test.go
@@ -0,0 +1,193 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+	"gingerfork/internal/trace"
+)
+
+// Reports tell the load as it was a while ago, and not quite; a server that makes none says so.
+func TestLoadReports(t *testing.T) {
+	play := func(late, noise float64, reports bool) (loads []float64) {
+		trade := plain(1, Work{Mean: 0.1, Shape: Fixed})
+		trade.Reports, trade.ReportLate, trade.ReportNoise = reports, late, noise
+		m := New(trade, 0)
+		m.Connect(1, "")
+		for i := range uint64(20) { // twenty at once: the k-th answer leaves 20-k behind
+			m.Ask(1, RPC{ID: i, Left: 100})
+		}
+		for now := 0.0; now < 3; now += 0.05 {
+			for _, e := range m.Advance(now) {
+				if r, ok := e.(Reply); ok {
+					loads = append(loads, r.Load)
+				}
+			}
+		}
+		return loads
+	}
+	if l := play(0, 0, false); len(l) != 20 || l[0] >= 0 {
+		t.Errorf("a server that reports nothing reported %v", l)
+	}
+	truth := play(0, 0, true)
+	for k, x := range truth {
+		if x != float64(19-k) {
+			t.Fatalf("answer %d reported %v", k+1, x)
+		}
+	}
+	late := play(0.5, 0, true)
+	for k := 8; k < 20; k++ { // half a second is five answers ago
+		if late[k] < truth[k]+4 || late[k] > truth[k]+6 {
+			t.Errorf("answer %d reported %v; it was %v then and %v half a second before", k+1, late[k], truth[k], truth[k-5])
+		}
+	}
+	off, same := 0.0, 0
+	for k, x := range play(0, 0.5, true) {
+		if off += x - truth[k]; x == truth[k] {
+			same++
+		}
+	}
+	if same > 2 || math.Abs(off) > 150 {
+		t.Errorf("noise left %d of 20 as they were, and moved the sum of 190 by %.0f", same, off)
+	}
+}
+
+// wire drives a fleet as a loop does, and keeps what it did.
+type wire struct {
+	f      *Fleet
+	now    float64
+	wake   float64
+	killed map[machine.Conn]bool
+	ok     int
+	trace  []trace.Record
+	notes  []string
+}
+
+func (w *wire) step(in ...machine.Input) {
+	out := &machine.Out{}
+	out.Reset()
+	w.f.Step(w.now, in, out)
+	w.wake = out.Wake
+	for _, a := range out.Acts {
+		if a.Kind == machine.Reset {
+			w.killed[a.Conn] = true
+		}
+		if a.Kind != machine.Write {
+			continue
+		}
+		var r proto.Reader
+		r.Open()
+		r.Feed(a.Data)
+		for m, _ := r.Next(); m != nil; m, _ = r.Next() {
+			if x, is := m.(proto.Reply); is && x.Status == proto.OK {
+				w.ok++
+			}
+		}
+	}
+	w.trace = append(w.trace, out.Trace...)
+	for _, n := range out.Notes {
+		w.notes = append(w.notes, fmt.Sprint(n.Text, n.Pairs))
+	}
+}
+
+func (w *wire) run(until float64) {
+	for w.wake < until {
+		w.now = max(w.now, w.wake)
+		w.step()
+	}
+	w.now = until
+}
+
+// Members of a fleet live and die by themselves: one's end resets its own connections, a new life starts cold, and its
+// door answers nobody meanwhile; bad words are said and change nothing.
+func TestFleet(t *testing.T) {
+	var last Tally
+	f := NewFleet(func(x Tally) { last = x })
+	for i := range 3 {
+		trade := plain(2, Work{Mean: 0.02, Shape: Fixed})
+		trade.EP, trade.ColdShare, trade.WarmAfter, trade.FallMultiple, trade.FallWindow = uint32(i+1), 0.3, 5, 50, 1
+		f.Add(fmt.Sprint("s", i), trade)
+	}
+	w := &wire{f: f, now: 100, killed: map[machine.Conn]bool{}}
+	hello := proto.Append(nil, proto.Hello{Version: proto.Version, Role: proto.RoleCaller, Name: "x"})
+	open := func(c machine.Conn, door int) {
+		w.step(machine.Input{Kind: machine.Opened, Conn: c, Door: door}, machine.Input{Kind: machine.Data, Conn: c, Data: hello})
+	}
+	ask := func(c machine.Conn, id uint64) {
+		w.step(machine.Input{Kind: machine.Data, Conn: c, Data: proto.Append(nil, proto.RPC{ID: id, Left: 5})})
+	}
+	told := func(text string) { w.step(machine.Input{Kind: machine.Told, Text: text}) }
+	for c := range machine.Conn(3) {
+		open(c+1, int(c))
+		ask(c+1, uint64(c)+1)
+	}
+	w.run(101.5)
+	if w.ok != 3 || last.Up != 3 || last.Ran != 3 || last.Able < 299 || last.Able > 301 {
+		t.Fatalf("%d answered; %v", w.ok, last)
+	}
+	told("s1 kill")
+	told("s1 kill") // twice is once
+	if !w.killed[2] || w.killed[1] || w.killed[3] {
+		t.Fatalf("the end of the second reset %v", w.killed)
+	}
+	open(7, 1)
+	if !w.killed[7] {
+		t.Error("a server that is down took a connection")
+	}
+	ask(2, 50)
+	ask(1, 51)
+	w.run(103.5)
+	if w.ok != 4 || last.Up != 2 {
+		t.Errorf("%d answered, %v", w.ok, last)
+	}
+	told("s1 start")
+	open(8, 1)
+	ask(8, 60)
+	w.run(105.6)
+	if w.ok != 5 || last.Up != 3 || last.Cold != 1 || last.Able > 290 {
+		t.Errorf("%d answered after its return, %v", w.ok, last)
+	}
+	told("s9 hang")
+	told("s0 hung")
+	told("* hang")
+	ask(1, 70)
+	w.run(107)
+	if len(w.notes) != 2 || !strings.Contains(w.notes[0], "s9") || last.Able != 0 || w.ok != 5 {
+		t.Errorf("notes %q, %v, %d answered", w.notes, last, w.ok)
+	}
+	told("* heal hang")
+	w.run(108)
+	if w.ok != 6 {
+		t.Errorf("%d answered after the hang", w.ok)
+	}
+	gone := 0
+	for _, r := range w.trace {
+		if r.Kind == trace.Gone {
+			gone++
+		}
+	}
+	if sum := last.Sum(Tally{T: 3, Servers: 1, Up: 1, Busy: 1, Ran: 2}); gone != 1 || sum.Servers != 4 || sum.Ran != last.Ran+2 {
+		t.Errorf("%d ends told, sum %+v", gone, sum)
+	}
+}
+
+// What falls behind says so: a fleet that is stepped late tells how late.
+func TestFleetTellsThatItIsLate(t *testing.T) {
+	worst := 0.0
+	f := NewFleet(func(x Tally) { worst = max(worst, x.Late) })
+	f.Add("s0", plain(1, Work{Mean: 0.01, Shape: Fixed}))
+	w := &wire{f: f, now: 10, killed: map[machine.Conn]bool{}}
+	w.step(machine.Input{Kind: machine.Opened, Conn: 1}, machine.Input{Kind: machine.Data, Conn: 1, Data: proto.Append(
+		proto.Append(nil, proto.Hello{Version: proto.Version, Role: proto.RoleCaller, Name: "x"}), proto.RPC{ID: 1, Left: 5})})
+	w.now = 10.31 // due at 10.01
+	w.step()
+	w.now = 11.5
+	w.step()
+	if math.Abs(worst-0.3) > 0.01 {
+		t.Errorf("it was 0.3 s late and says %.3f", worst)
+	}
+}
--- a/internal/emulator/model.go
+++ b/internal/emulator/model.go
@@ -460,6 +460,9 @@
 	m.dispatch()
 }
 
+// Drain has it finish what it has and refuse what is new.
+func (m *Model) Drain() { m.draining = true }
+
 // Probe asks whether it answers. A probe waits its turn like any work.
 func (m *Model) Probe(c Caller, id uint64) {
 	if m.callers[c] == nil || m.fallen || m.hung > 0 {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -199,7 +199,7 @@
 	case "fast":
 		m.fast = true
 	case "drain":
-		m.draining = true
+		m.Drain()
 	case "part":
 		m.part = v
 	case "method":
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,105 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gingerfork/internal/emulator"
+	"gingerfork/internal/loop"
+	"gingerfork/internal/report"
+	"gingerfork/internal/rules"
+	"gingerfork/internal/standin"
+)
+
+func start(t *testing.T, servers int, more func(*emulator.Trade)) (addrs []string, l *loop.Loop) {
+	t.Helper()
+	fleet := emulator.NewFleet(nil)
+	var listen []string
+	for i := range servers {
+		trade := emulator.Trade{EP: uint32(i + 1), Cores: 4, Speed: 1, Work: []emulator.Work{{Mean: 0.002, Shape: emulator.Fixed}}, QueueMost: 1000, Seed: uint64(i)}
+		if more != nil {
+			more(&trade)
+		}
+		fleet.Add(fmt.Sprint("s", i), trade)
+		listen = append(listen, "127.0.0.1:0")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := loop.Start(ctx, loop.Bootstrap{Machine: fleet, Listen: listen})
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Wait()
+	})
+	return l.Addrs(), l
+}
+
+func boot(to []string) Bootstrap {
+	m := []rules.Method{{Name: "read", Criticality: 1, SoftDeadline: 0.5}}
+	return Bootstrap{Front: standin.FrontTrade{Methods: []standin.MethodTrade{{Name: "read", Criticality: 1, SoftDeadline: 0.5, Deadline: 2, Share: 1}},
+		Pick: "pair", Period: 0.5, ConnectTimeout: 1}, Methods: m, Proxies: 4, Rate: 200, Servers: to, For: 2500 * time.Millisecond, Seed: 3}
+}
+
+// The asking goes on at its rate while all servers stand still, and what waited counts from when it was due.
+func TestAskingDoesNotWait(t *testing.T) {
+	addrs, l := start(t, 3, nil)
+	told := time.AfterFunc(time.Second, func() { l.Tell("* hang") })
+	healed := time.AfterFunc(1700*time.Millisecond, func() { l.Tell("* heal hang") })
+	defer told.Stop()
+	defer healed.Stop()
+	r, err := Run(context.Background(), boot(addrs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked, late := 0, 0
+	for _, s := range r.Seconds {
+		asked += s.InTime + s.Late + s.PushedBack + s.Aborted
+		late += s.Late
+	}
+	if math.Abs(float64(asked)-500) > 6*math.Sqrt(500) {
+		t.Errorf("%d RPCs ended of about 500 asked for", asked)
+	}
+	if late == 0 || r.Latencies[0].Worst < 0.5 || r.Service > 0.99 {
+		t.Errorf("a stall of 700 ms: %d late, the worst after %.3f s, service %.3f", late, r.Latencies[0].Worst, r.Service)
+	}
+}
+
+func TestBadRunsAreRefused(t *testing.T) {
+	for name, spoil := range map[string]func(*Bootstrap){
+		"no proxies":             func(b *Bootstrap) { b.Proxies = 0 },
+		"no rate":                func(b *Bootstrap) { b.Rate = 0 },
+		"no time":                func(b *Bootstrap) { b.For = 0 },
+		"nobody to ask":          func(b *Bootstrap) { b.Servers = nil },
+		"both":                   func(b *Bootstrap) { b.To = []string{"x"} },
+		"a wave without its day": func(b *Bootstrap) { b.Front.Shape.Swing = 0.5 },
+	} {
+		b := boot([]string{"127.0.0.1:1"})
+		spoil(&b)
+		if _, err := Run(context.Background(), b); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+	}
+	b := boot([]string{"127.0.0.1:1"}) // nobody listens there: all is pushed back, none is lost
+	b.For = 600 * time.Millisecond
+	r, err := Run(context.Background(), b)
+	if err != nil || r.Service > 0 || len(r.Seconds) == 0 || r.Seconds[0].PushedBack == 0 {
+		t.Errorf("without servers: %v, %+v", err, r)
+	}
+}
+
+// A run whose emulation fell behind is void, one that did not is not.
+func TestVoid(t *testing.T) {
+	for _, c := range []struct {
+		b    report.Behind
+		void bool
+	}{{report.Behind{Share: 0.009, Worst: 0.2}, false}, {report.Behind{Share: 0.02, Worst: 0.05}, true}, {report.Behind{Worst: 0.3}, true}} {
+		if c.b.Void() != c.void {
+			t.Errorf("%+v: void %v", c.b, c.b.Void())
+		}
+	}
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -246,7 +246,7 @@
 }
 
 // Run takes the figures named (drains, joins, idle; none: all) and prints them as a page's tables.
-func Run(ctx context.Context, out io.Writer, serve []string, which []string) error {
+func Run(ctx context.Context, out io.Writer, serve []string, which []string, picture io.Writer) error {
 	all := len(which) == 0
 	if all || slices.Contains(which, "drains") {
 		fmt.Fprintln(out, "| servers | front ends | drains | median ms | 99th ms | worst ms | worst, of a grace of 2.1 s | RPCs sent meanwhile |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
@@ -317,5 +317,13 @@
 			fmt.Fprintf(out, "| %d | %.0f | %.1f | %.1f | %.0f |\n", n, float64(memory)/(1<<20), each, 100*(after-before)/span, 1e6*(after-before)/span/float64(n))
 		}
 	}
+	if all || slices.Contains(which, "emulator") {
+		if err := Emulator(ctx, out); err != nil {
+			return err
+		}
+	}
+	if all || slices.Contains(which, "retries") {
+		return Retries(out, picture)
+	}
 	return nil
 }
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -288,7 +288,10 @@
 	if d.Length <= 0 || d.Length > 86400 {
 		lack("it has no length of up to 24h (such as: length 60s)")
 	}
-	if len(d.Servers) == 0 || len(d.Fronts) == 0 {
+	has := func(word string) bool { // also where the line is at fault, which was said
+		return slices.ContainsFunc(lines, func(l bootstrap.Line) bool { return l.Words[0] == word })
+	}
+	if !has("servers") || !has("frontends") {
 		lack("it has no servers, or no frontends")
 	}
 	if d.Trade != nil {
--- a/internal/rehearse/emulate.go
+++ b/internal/rehearse/emulate.go
@@ -129,6 +129,7 @@
 			}
 			t := c.trade(a, store)
 			if n > 1 || e.Parts > 1 {
+				t.Ledger = nil
 				t.Store = &emulator.Store{Group: e.Day.Tokens, Window: store.Window} // what one loop or process owns, another can't see
 			}
 			fleet.Add(a.name, t)
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -37,7 +37,8 @@
 	Records []trace.Record
 	Fails   []string // of machines that failed: a defect of the program, whatever the rules say
 	Steps   int
-	Truth   *Truth // nil unless it was asked for
+	Truth   *Truth           // nil unless it was asked for
+	Twice   []emulator.Twice // RPCs that took effect twice, by the servers' own ledger
 }
 
 // cast is who plays in a day.
@@ -54,7 +55,8 @@
 	begin   machine.Seconds
 	spoil   map[string]any // values given to coordinators in place of the settings'
 	zoneCut map[string]int // how many cuts part a zone from the others
-	glance  float64        // servers tell of themselves so often; 0: they don't
+	ledger  *emulator.Ledger
+	glance  float64 // servers tell of themselves so often; 0: they don't
 }
 
 type actor struct {
@@ -74,7 +76,7 @@
 }
 
 func newCast(d *Day) *cast {
-	c := &cast{day: d, all: map[string]*actor{}, zoneCut: map[string]int{}, dice: emulator.NewDice(d.Seed)}
+	c := &cast{day: d, all: map[string]*actor{}, zoneCut: map[string]int{}, ledger: &emulator.Ledger{}, dice: emulator.NewDice(d.Seed)}
 	zones := d.Zones()
 	zone := func(z string, i int) string {
 		if z == "" {
@@ -136,7 +138,7 @@
 	return emulator.Trade{EP: uint32(a.ep), Zone: a.zone, Cores: g.Workers, Speed: 1, Work: []emulator.Work{work}, QueueMost: g.Queue,
 		GiveUp: g.GiveUp, ColdShare: b.Num("cold_share", 0.3), WarmAfter: b.Num("warm_after", 10),
 		FallMultiple: b.Num("fall_multiple", 3), FallWindow: b.Num("fall_window", 1), ProbeWork: work.Mean / 10, ProbesMost: 10,
-		ConnWork: work.Mean / 10, Seed: standin.Seed(c.day.Seed, a.name), Store: store,
+		ConnWork: work.Mean / 10, Seed: standin.Seed(c.day.Seed, a.name), Store: store, Ledger: c.ledger,
 		Cell: g.Cell, Connections: g.Conns, Reports: g.Reports, ReportLate: g.Late, ReportNoise: g.Noise, Keys: g.Memory, KeySaves: g.Saves}
 }
 
@@ -589,7 +591,7 @@
 	}
 	w.Run(epoch + d.Length)
 	r, err := finish(d, records, w.Fails)
-	r.Truth = truth
+	r.Truth, r.Twice = truth, c.ledger.Twice
 	r.Steps = w.Steps
 	return r, err
 }
--- a/internal/rehearse/sockets.go
+++ b/internal/rehearse/sockets.go
@@ -105,7 +105,7 @@
 // Sockets plays a day on sockets, in real time. It ends early, with what was seen so far, when ctx does.
 func Sockets(ctx context.Context, d *Day, serving Serving) (Result, error) {
 	c := newCast(d)
-	c.glance = 1
+	c.glance, c.ledger = 1, nil // its servers are on loops of their own; the checker finds effects by the trace
 	s := &sockets{cast: c, serving: serving, clock: loop.NewClock(), nodes: map[string]*node{}, relays: map[string]*relay{}}
 	var cancel context.CancelFunc
 	s.ctx, cancel = context.WithCancel(context.Background())
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -213,6 +213,9 @@
 
 // Text writes the figures that a terminal shows.
 func (r *Report) Text(out io.Writer) {
+	if r.Fleet != nil && r.Fleet.Most > 0 {
+		fmt.Fprintf(out, "service %.3f of %.3f that the servers' true state allowed\n", r.Service, r.Fleet.Most)
+	}
 	fmt.Fprintf(out, "poorest ten seconds from %d s: service %.3f; poorest method %s: %.3f\n", r.WorstAt, r.Worst10, r.Poorest, r.PoorestBy)
 	if r.Behind.Worst > 0 {
 		fmt.Fprintf(out, "emulation at most %.1f ms late, more than %.0f ms in %.2f%% of looks\n", 1e3*r.Behind.Worst, 1e3*LateMost, 100*r.Behind.Share)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -48,6 +48,7 @@
 	Record  int // its place in the trace, from 1
 	Why     string
 	Nearest float64 // how near it came, as a part of the limit; 1 and above: reached
+	At      float64 // when that was, in seconds of the run
 	Note    string
 }
 
@@ -150,6 +151,7 @@
 	who     map[string]*proxy
 	names   []string
 	of      map[string]*coordinator
+	begin   float64
 	now     float64
 	at      int
 	runs    map[uint64]ran
@@ -171,6 +173,9 @@
 		"the queue stays short"} {
 		c.report.Rules[i].Rule, c.report.Rules[i].Name = i+1, n
 	}
+	if len(records) > 0 {
+		c.begin = records[0].T
+	}
 	for i, r := range records {
 		if r.T < c.now {
 			return c.report, fmt.Errorf("record %d: time runs back from %.6f to %.6f", i+1, c.now, r.T)
@@ -193,7 +198,7 @@
 // near notes how near a rule came.
 func (c *checker) near(rule int, part float64, note string, args ...any) {
 	if v := &c.report.Rules[rule-1]; part > v.Nearest {
-		v.Nearest, v.Note = part, fmt.Sprintf(note, args...)
+		v.Nearest, v.At, v.Note = part, c.now-c.begin, fmt.Sprintf(note, args...)
 	}
 }
 
@@ -359,7 +364,7 @@
 		c.end(r)
 	case trace.Trouble:
 		c.report.Troubles++
-	case trace.Gone:
+	case trace.Gone, trace.Glance, trace.Late:
 	default:
 		return fmt.Errorf("unknown kind")
 	}
