--- a/internal/measure/emulator.go
+++ b/internal/measure/emulator.go
@@ -74,7 +74,7 @@
 	r, err := load.Run(ctx, load.Bootstrap{Proxies: 4, Rate: rate, Servers: addrs, For: span, Seed: 1,
 		Methods: []rules.Method{{Name: "read", Criticality: 1, SoftDeadline: 0.5}},
 		Front: standin.FrontTrade{Methods: []standin.MethodTrade{{Name: "read", Criticality: 1, SoftDeadline: 0.5, Deadline: 2, Share: 1}},
-			Pick: "weight", Period: 0.5, ConnectTimeout: 2}})
+			Pick: "lottery", Period: 0.5, ConnectTimeout: 2}})
 	if err != nil {
 		return c, fmt.Errorf("ask for %.0f RPCs a second: %w", rate, err)
 	}
--- a/internal/rehearse/day.go
+++ b/internal/rehearse/day.go
@@ -477,8 +477,8 @@
 				err = fmt.Errorf("%v is more than 10", g.Uneven)
 			}
 		case "pick":
-			if g.Pick = v; !slices.Contains([]string{"even", "weight", "pair", "report"}, v) {
-				err = fmt.Errorf("%q is none of even, weight, pair, report", v)
+			if g.Pick = v; !slices.Contains([]string{"even", "lottery", "pair", "report"}, v) {
+				err = fmt.Errorf("%q is none of even, lottery, pair, report", v)
 			}
 		default:
 			err = fmt.Errorf("unknown%s", like(name, []string{"zone", "rate", "uneven", "pick"}))
