--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,219 @@
+// Package follow decides what becomes of the list when the file that it comes from changes: what is new is listed, what
+// is gone from the file drains first and leaves later, what changed its weight changes its weight alone, and a file that
+// would take most servers out of use is held back until it is offered again. It does no I/O and has no clock; what it
+// knows can be written down and read again, so that a restart between two files drains what the later one dropped.
+package follow
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Seconds are seconds with fractions.
+type Seconds = float64
+
+// State is a server's on the list.
+type State uint8
+
+const (
+	Open State = iota
+	Draining
+	Gone
+)
+
+// Server is one that a file names.
+type Server struct {
+	Number   uint32 // by which proxies know it; it goes by the name
+	Name     string
+	Addr     string
+	Weight   float64
+	Draining bool // the file says that it is to get nothing new
+}
+
+// Entry is a server on the list.
+type Entry struct {
+	Server
+	State State
+	Stamp uint64  // changes when its process is another
+	Start Seconds // of its process; 0: long ago, or not known
+	Until Seconds // it left the file, and leaves the list then; 0: it is in the file
+}
+
+// Terms are what an operator sets.
+type Terms struct {
+	DrainFor Seconds // from when a server left the file until it leaves the list
+	MostLost float64 // share of the servers in use that one file may take out of use; more must be offered twice
+}
+
+// Follow is the list as it follows files.
+type Follow struct {
+	terms   Terms
+	version uint64
+	list    map[uint32]*Entry
+	held    string // the offer that was held back last
+}
+
+// New makes an empty list.
+func New(t Terms) *Follow { return &Follow{terms: t, list: map[uint32]*Entry{}} }
+
+// Version counts changes of the list.
+func (f *Follow) Version() uint64 { return f.version }
+
+// Entries are all of the list, by number.
+func (f *Follow) Entries() []Entry {
+	var all []Entry
+	for _, n := range f.numbers() {
+		all = append(all, *f.list[n])
+	}
+	return all
+}
+
+func (f *Follow) numbers() (all []uint32) {
+	for n := range f.list {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Offer takes a file's servers. It gives the entries that changed; or an error that says why the file is held back, and
+// then nothing has changed.
+func (f *Follow) Offer(now Seconds, servers []Server) ([]Entry, error) {
+	in := map[uint32]Server{}
+	used := 0
+	for _, s := range servers {
+		if was, twice := in[s.Number]; twice {
+			return nil, fmt.Errorf("servers %s and %s have the number %d", was.Name, s.Name, s.Number)
+		}
+		if !(s.Weight > 0) {
+			return nil, fmt.Errorf("server %s has a weight of %v", s.Name, s.Weight)
+		}
+		in[s.Number] = s
+		if !s.Draining {
+			used++
+		}
+	}
+	if used == 0 {
+		return nil, fmt.Errorf("no server would be in use")
+	}
+	open, lost := 0, 0
+	for _, e := range f.list {
+		if e.State == Open {
+			open++
+			if s, still := in[e.Number]; !still || s.Draining || s.Addr != e.Addr {
+				lost++
+			}
+		}
+	}
+	if print := fingerprint(servers); float64(lost) > f.terms.MostLost*float64(open) && f.held != print {
+		f.held = print
+		return nil, fmt.Errorf("it takes %d of %d servers out of use, more than %.0f%%: reload the same file once more if it is meant", lost, open, 100*f.terms.MostLost)
+	}
+	f.held = ""
+	var changed []Entry
+	for _, s := range servers {
+		e := f.list[s.Number]
+		state := Open
+		if s.Draining {
+			state = Draining
+		}
+		switch {
+		case e == nil:
+			e = &Entry{Server: s, State: state, Stamp: 1}
+			if len(f.list) > 0 && f.version > 0 {
+				e.Start = now // beside others it may just have started: cold until it has warmed
+			}
+			f.list[s.Number] = e
+		case e.Addr != s.Addr:
+			// Another process under the same name: what was held against the old one is void, and it is cold.
+			*e = Entry{Server: s, State: state, Stamp: e.Stamp + 1, Start: now}
+		case e.Server != s || e.State != state || e.Until != 0:
+			e.Server, e.State, e.Until = s, state, 0
+		default:
+			continue
+		}
+		changed = append(changed, *e)
+	}
+	for _, n := range f.numbers() {
+		if e := f.list[n]; e.Until == 0 {
+			if _, still := in[n]; !still {
+				e.State, e.Until = Draining, now+f.terms.DrainFor
+				changed = append(changed, *e)
+			}
+		}
+	}
+	if len(changed) > 0 {
+		f.version++
+	}
+	slices.SortFunc(changed, func(a, b Entry) int { return int(int64(a.Number) - int64(b.Number)) })
+	return changed, nil
+}
+
+// Due gives the entries whose drain is over: they are gone, and off the list.
+func (f *Follow) Due(now Seconds) (gone []Entry) {
+	for _, n := range f.numbers() {
+		if e := f.list[n]; e.Until > 0 && e.Until <= now {
+			delete(f.list, n)
+			e.State = Gone
+			gone = append(gone, *e)
+		}
+	}
+	if len(gone) > 0 {
+		f.version++
+	}
+	return gone
+}
+
+// Wake is when Due has something next; false: never by itself.
+func (f *Follow) Wake() (at Seconds, any bool) {
+	for _, e := range f.list {
+		if e.Until > 0 && (!any || e.Until < at) {
+			at, any = e.Until, true
+		}
+	}
+	return at, any
+}
+
+func fingerprint(servers []Server) string {
+	all := slices.Clone(servers)
+	slices.SortFunc(all, func(a, b Server) int { return int(int64(a.Number) - int64(b.Number)) })
+	return fmt.Sprint(all)
+}
+
+// kept is what a restart needs.
+type kept struct {
+	Format  int
+	Version uint64
+	Entries []Entry
+	Held    string
+}
+
+// Encode writes down what it knows.
+func (f *Follow) Encode() ([]byte, error) {
+	data, err := json.Marshal(kept{1, f.version, f.Entries(), f.held})
+	if err != nil {
+		return nil, fmt.Errorf("write down the list that follows files: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads it again.
+func Decode(t Terms, data []byte) (*Follow, error) {
+	var k kept
+	if err := json.Unmarshal(data, &k); err != nil {
+		return nil, fmt.Errorf("read the list that follows files: %w", err)
+	}
+	if k.Format != 1 {
+		return nil, fmt.Errorf("read the list that follows files: format %d is not known here", k.Format)
+	}
+	f := New(t)
+	f.version, f.held = k.Version, k.Held
+	for _, e := range k.Entries {
+		if f.list[e.Number] != nil || e.State > Draining || !(e.Weight > 0) {
+			return nil, fmt.Errorf("read the list that follows files: server %d is at fault", e.Number)
+		}
+		f.list[e.Number] = &e
+	}
+	return f, nil
+}
