serve follows a HAProxy file as its list: drains, hold-back, restart between files

Need: a running import. A changed file must become list changes, a bad one must leave the last good list in force, and a restart between two files must not forget a drain.

Change: internal/listing is a list service that follows files by package follow; serve runs it where the settings name list-from. A server that left the file drains for list-drain, a file that takes more than list-most-lost out of use is held back until read again, one whose last line has no end is taken as cut short.

--- /dev/null
+++ b/cmd/gingerfork/follow.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/follow"
+	"gingerfork/internal/haproxy"
+	"gingerfork/internal/listing"
+	"gingerfork/internal/loop"
+)
+
+// source is the list service that a coordinator's process runs itself, where its settings name a file; nil: it runs none.
+type source struct {
+	file, pool string
+	service    *listing.Service
+	loop       *loop.Loop
+	log        *slog.Logger
+}
+
+func follows(ctx context.Context, t *bootstrap.Trade, dir string, clock *loop.Clock, log *slog.Logger) (*source, error) {
+	if file := t.Text("list-from"); file == "" || file == "-" {
+		return nil, nil
+	}
+	s := &source{file: t.Text("list-from"), pool: strings.TrimPrefix(t.Text("list-pool"), "-"), log: log}
+	var kept []byte
+	if dir != "" {
+		var err error
+		if kept, err = os.ReadFile(filepath.Join(dir, listing.Kept)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return nil, fmt.Errorf("read what was followed: %w", err)
+		}
+	}
+	var err error
+	s.service, err = listing.New(t.Name, t.Coordinator(0).Word("zone"), follow.Terms{DrainFor: t.Num("list-drain"), MostLost: t.Num("list-most-lost")}, kept,
+		func(changed int, err error) {
+			if err != nil {
+				log.Error("the file of servers is held back; the list stays as it was", "file", s.file, "cause", err.Error())
+				return
+			}
+			log.Info("the file of servers was read", "file", s.file, "changed", changed)
+		})
+	if err != nil {
+		log.Warn("what was followed before is not usable; the list starts anew", "cause", err.Error())
+	}
+	if s.loop, err = loop.Start(ctx, loop.Bootstrap{Machine: s.service, Listen: []string{t.Text("list-service")}, Dir: dir, Log: log, Clock: clock}); err != nil {
+		return nil, fmt.Errorf("list the servers of %s: %w", s.file, err)
+	}
+	s.look()
+	return s, nil
+}
+
+// look reads the file again. One that can't be read, or is at fault, changes nothing.
+func (s *source) look() {
+	if s == nil {
+		return
+	}
+	text, err := os.ReadFile(s.file)
+	var servers []follow.Server
+	if err == nil && !strings.HasSuffix(string(text), "\n") {
+		// Cut short within a line, a file may well make sense: a server's line that is no more one.
+		err = errors.New("its last line has no end: it may have been cut short")
+	}
+	if err == nil {
+		servers, err = haproxy.Read([]haproxy.Source{{Name: s.file, Text: string(text)}}, haproxy.Given{}).Servers(s.pool)
+	}
+	if err != nil {
+		s.log.Error("the file of servers is bad; the list stays as it was", "file", s.file, "cause", err.Error())
+		return
+	}
+	s.loop.Between(func() { s.service.Offer(servers) })
+}
+
+func (s *source) end() {
+	if s != nil {
+		s.loop.Stop()
+		_ = s.loop.Wait()
+	}
+}
--- a/cmd/gingerfork/serve.go
+++ b/cmd/gingerfork/serve.go
@@ -47,6 +47,11 @@
 		}
 	}
 	clock := loop.NewClock()
+	source, err := follows(ctx, t, dir, clock, log)
+	if err != nil {
+		return err
+	}
+	defer source.end()
 	m := coordinator.NewMachine(coordinatorOf(t, t.Coordinator(clock.Now())), kept)
 	l, err := loop.Start(ctx, loop.Bootstrap{Machine: m, Listen: []string{t.Text("listen")}, Dir: dir, MostOut: int(t.Num("reader-buffer")),
 		Log: log, Clock: clock})
@@ -63,9 +68,11 @@
 			fresh, err := bootstrap.Read(c.File)
 			if err != nil {
 				log.Error("the settings were read again and are bad; the old stay in force", "cause", err)
+				source.look()
 				continue
 			}
-			for _, k := range []string{"listen", "list-service", "state"} {
+			source.look()
+			for _, k := range []string{"listen", "list-service", "state", "list-from", "list-pool", "list-drain", "list-most-lost"} {
 				if fresh.Text(k) != t.Text(k) {
 					log.Warn("this keyword takes a restart; the old value stays in force", "keyword", k)
 				}
