--- a/cmd/gingerfork/import.go
+++ b/cmd/gingerfork/import.go
@@ -16,12 +16,13 @@
 }
 
 type haproxyCmd struct {
-	Files  []string          `arg:"" help:"Files, in the order in which HAProxy would read them."`
-	Out    string            `short:"o" help:"Write each pool's settings and list to this folder." placeholder:"DIR"`
-	Env    map[string]string `help:"A variable that the files use; none is taken from the real environment." placeholder:"NAME=VALUE"`
-	JSON   bool              `help:"Print what became of each line as JSON."`
-	Strict bool              `help:"Fail if anything is not carried exactly."`
-	Diff   bool              `help:"Tell what changes on the list between two files, the old and the new."`
+	Files    []string          `arg:"" optional:"" help:"Files, in the order in which HAProxy would read them."`
+	Out      string            `short:"o" help:"Write each pool's settings and list to this folder." placeholder:"DIR"`
+	Env      map[string]string `help:"A variable that the files use; none is taken from the real environment." placeholder:"NAME=VALUE"`
+	JSON     bool              `help:"Print what became of each line as JSON."`
+	Strict   bool              `help:"Fail if anything is not carried exactly."`
+	Keywords bool              `help:"Print what becomes of each keyword. Example: gingerfork import haproxy --keywords > docs/haproxy-keywords.md"`
+	Diff     bool              `help:"Tell what changes on the list between two files, the old and the new."`
 }
 
 func (c haproxyCmd) read(files ...string) (haproxy.Import, error) {
@@ -37,6 +38,13 @@
 }
 
 func (c haproxyCmd) Run(p *program) error {
+	if c.Keywords {
+		haproxy.Page(p.out)
+		return nil
+	}
+	if len(c.Files) == 0 {
+		return errors.New("no file to import was given")
+	}
 	if c.Diff {
 		return c.diff(p)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -106,12 +106,20 @@
 			}
 		}
 	}
-	if print := fingerprint(servers); float64(lost) > f.terms.MostLost*float64(open) && f.held != print {
+	if float64(lost) > f.terms.MostLost*float64(open) {
+		print := fingerprint(servers)
+		if f.held == print {
+			return f.take(now, servers, in), nil
+		}
 		f.held = print
 		return nil, fmt.Errorf("it takes %d of %d servers out of use, more than %.0f%%: reload the same file once more if it is meant", lost, open, 100*f.terms.MostLost)
 	}
+	return f.take(now, servers, in), nil
+}
+
+// take has the list follow a file.
+func (f *Follow) take(now Seconds, servers []Server, in map[uint32]Server) (changed []Entry) {
 	f.held = ""
-	var changed []Entry
 	for _, s := range servers {
 		e := f.list[s.Number]
 		state := Open
@@ -147,7 +155,7 @@
 		f.version++
 	}
 	slices.SortFunc(changed, func(a, b Entry) int { return int(int64(a.Number) - int64(b.Number)) })
-	return changed, nil
+	return changed
 }
 
 // Due gives the entries whose drain is over: they are gone, and off the list.
--- /dev/null
+++ b/internal/haproxy/bench_test.go
@@ -0,0 +1,59 @@
+package haproxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gingerfork/internal/follow"
+)
+
+func farm(servers int) string {
+	var b strings.Builder
+	b.WriteString("defaults\n    mode http\n    balance leastconn\n    default-server inter 2s fall 3\n")
+	for i := range servers {
+		if i%1000 == 0 {
+			fmt.Fprintf(&b, "backend p%d\n", i/1000)
+		}
+		fmt.Fprintf(&b, "    server s%d 10.%d.%d.%d:8080 weight %d check maxconn 100\n", i, i>>16&255, i>>8&255, i&255, i%256+1)
+	}
+	return b.String()
+}
+
+// BenchmarkRead tells whether time and memory grow with the file's length alone.
+func BenchmarkRead(b *testing.B) {
+	for _, n := range []int{10, 1000, 100000} {
+		text := farm(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if got := Read([]Source{{"a", text}}, Given{}); len(got.Faults) > 0 {
+					b.Fatal(got.Faults[0])
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/line")
+		})
+	}
+}
+
+// BenchmarkReload is what a changed weight costs beside 10,000 servers: the reading, and what follows from it.
+func BenchmarkReload(b *testing.B) {
+	var all []follow.Server
+	for i := range 10000 {
+		all = append(all, follow.Server{Number: uint32(i + 1), Name: fmt.Sprint("s", i), Addr: "h:1", Weight: 1})
+	}
+	f := follow.New(follow.Terms{DrainFor: 1, MostLost: 0.5})
+	if _, err := f.Offer(0, all); err != nil {
+		b.Fatal(err)
+	}
+	changed := 0
+	for b.Loop() {
+		all[77].Weight++
+		c, err := f.Offer(1, all)
+		if err != nil {
+			b.Fatal(err)
+		}
+		changed += len(c)
+	}
+	b.ReportMetric(float64(changed)/float64(b.N), "entries/reload")
+}
--- a/internal/haproxy/import.go
+++ b/internal/haproxy/import.go
@@ -148,6 +148,9 @@
 				m.fault(l.Place, "a %s without a name", word)
 			}
 		}
+		if c := strange(s.name); c != "" && slices.Contains([]string{"defaults", "frontend", "backend", "listen"}, word) {
+			m.fault(l.Place, "%q is not permitted in the name of a %s", c, word)
+		}
 		switch word {
 		case "defaults":
 			if s.name != "" {
@@ -169,6 +172,16 @@
 	}
 }
 
+// strange is the first character of a name that none may have (manual, 4): names are put into files and logs.
+func strange(name string) string {
+	for _, c := range name {
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.ContainsRune("-_.:", c)) {
+			return string(c)
+		}
+	}
+	return ""
+}
+
 // inherit gives the lines of a proxy's defaults, the farthest first.
 func (s *section) inherit() (all []Line) {
 	if s.defaults != nil {
@@ -456,9 +469,15 @@
 		}
 	}
 	addr, err := ParseAddress(l.Word(at))
+	if c := strange(l.Word(1)); c != "" {
+		err = fmt.Errorf("%q is not permitted in a server's name", c)
+	}
 	if len(l.Tokens) <= at {
 		err = fmt.Errorf("a name and an address are needed")
 	}
+	if c := strings.IndexFunc(l.Word(at), func(c rune) bool { return c < ' ' || c == 0x7f }); c >= 0 {
+		err = fmt.Errorf("its address has a control character")
+	}
 	if err == nil && addr.Family != "unix" && addr.Family != "abns" {
 		switch {
 		case addr.Offset:
--- a/internal/haproxy/import_test.go
+++ b/internal/haproxy/import_test.go
@@ -3,7 +3,6 @@
 import (
 	"embed"
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 
@@ -71,26 +70,61 @@
 	return strings.Join(all, "; ")
 }
 
-func TestSamples(t *testing.T) {
-	for _, c := range []struct{ file, pool, want, pick string }{
-		{"webfarm.cfg", "tasks", "t1 10.0.0.11:8080 100 open; t2 10.0.0.12:8080 50 open; t3 10.0.0.13:8080 256 open; t4 10.0.0.14:8080 0 draining", "even"},
-		{"webfarm.cfg", "static", "img1 img.example:8081 1 open; img2 img.example:8081 1 open; img3 img.example:8081 1 open; local [2001:db8::1]:8082 2 open", "pair"},
-		{"backups.cfg", "one", "b 10.1.0.2:3306 10 open", "lottery"},
-		{"backups.cfg", "all", "b 10.1.0.2:3306 10 open; c 10.1.0.3:3306 20 open", "lottery"},
-		{"blocks.cfg", "lists", "perth-1 127.0.0.1:80 7 open", "lottery"},
+// A name or an address that would become other lines of what is written is refused.
+func TestStrangeNames(t *testing.T) {
+	for text, want := range map[string]string{
+		"backend \"a\\nproxies\"\nserver s 1.1.1.1:1\n":                         `a.cfg:1: "\n" is not permitted in the name of a backend`,
+		"backend a\nserver \"s \\n\" 1.1.1.1:1\n":                               `a.cfg:2: server s`,
+		"backend a\nserver s \"unix@/a\\nserver 2\"\n":                          "a.cfg:2: server s: its address has a control character",
+		"backend 'a b'\nserver s 1.1.1.1:1\nlisten ../up\nserver s 1.1.1.1:1\n": `a.cfg:1: " " is not permitted in the name of a backend`,
 	} {
-		got := read(sample(t, c.file))
-		if len(got.Faults) > 0 {
-			t.Errorf("%s: %v", c.file, got.Faults)
+		got := read(text)
+		if len(got.Faults) == 0 || !strings.HasPrefix(got.Faults[0].String(), want) {
+			t.Errorf("%q: %v, %s wanted", text, got.Faults, want)
+		}
+	}
+}
+
+// Each sample says in its first lines what is to come of it: #! pool NAME PICK: its list, or #! refused :LINE: why.
+func TestSamples(t *testing.T) {
+	files, err := samples.ReadDir("samples")
+	if err != nil || len(files) < 20 {
+		t.Fatalf("%d samples, %v", len(files), err)
+	}
+	for _, file := range files {
+		text := sample(t, file.Name())
+		got := read(text)
+		var refused []string
+		for _, f := range got.Faults {
+			refused = append(refused, strings.TrimPrefix(f.String(), "a.cfg"))
+		}
+		pools := map[string]Pool{}
+		for _, p := range got.Pools {
+			pools[p.Name] = p
 		}
-		at := slices.IndexFunc(got.Pools, func(p Pool) bool { return p.Name == c.pool })
-		if at < 0 || listed(got.Pools[at]) != c.want || got.Pools[at].Pick != c.pick {
-			t.Errorf("%s, pool %s: %+v", c.file, c.pool, got.Pools)
-			continue
+		said := 0
+		var want []string
+		for l := range strings.Lines(text) {
+			l = strings.TrimSpace(l)
+			if rest, ok := strings.CutPrefix(l, "#! refused "); ok {
+				want = append(want, rest)
+				said++
+			} else if rest, ok := strings.CutPrefix(l, "#! pool "); ok {
+				said++
+				head, list, _ := strings.Cut(rest, ": ")
+				name, pick, _ := strings.Cut(head, " ")
+				p := pools[name]
+				if listed(p) != list || p.Pick != pick {
+					t.Errorf("%s, pool %s: %s, %s; %s, %s wanted", file.Name(), name, p.Pick, listed(p), pick, list)
+				}
+				lines, faults := bootstrap.Lex("out.conf", p.Settings())
+				if _, more := bootstrap.Parse("out.conf", lines); len(faults)+len(more) > 0 {
+					t.Errorf("%s, pool %s: its settings are at fault: %v %v", file.Name(), name, faults, more)
+				}
+			}
 		}
-		lines, faults := bootstrap.Lex("out.conf", got.Pools[at].Settings())
-		if _, more := bootstrap.Parse("out.conf", lines); len(faults)+len(more) > 0 {
-			t.Errorf("%s, pool %s: its settings are at fault: %v %v", c.file, c.pool, faults, more)
+		if strings.Join(refused, "\n") != strings.Join(want, "\n") || said == 0 {
+			t.Errorf("%s: refused %q, %q wanted", file.Name(), refused, want)
 		}
 	}
 }
@@ -172,11 +206,19 @@
 }
 
 func TestNothingVanishes(t *testing.T) {
-	for _, name := range []string{"webfarm.cfg", "backups.cfg", "blocks.cfg"} {
-		accounted(t, read(sample(t, name)))
+	files, err := samples.ReadDir("samples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, f := range files {
+		accounted(t, read(sample(t, f.Name())))
+		if f.Name() != "many.cfg" { // long, and of one kind
+			names = append(names, f.Name())
+		}
 	}
 	rapid.Check(t, func(rt *rapid.T) {
-		text := sample(t, rapid.SampledFrom([]string{"webfarm.cfg", "backups.cfg", "blocks.cfg"}).Draw(rt, "file"))
+		text := sample(t, rapid.SampledFrom(names).Draw(rt, "file"))
 		for range rapid.IntRange(1, 6).Draw(rt, "mutations") {
 			at := rapid.IntRange(0, len(text)).Draw(rt, "at")
 			end := min(len(text), at+rapid.IntRange(0, 12).Draw(rt, "length"))
--- /dev/null
+++ b/internal/haproxy/page.go
@@ -0,0 +1,59 @@
+package haproxy
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+)
+
+// Page writes what becomes of each keyword, as a page: what the importer itself goes by.
+func Page(out io.Writer) {
+	fmt.Fprint(out, `# What becomes of HAProxy's keywords
+
+Written by `+"`gingerfork import haproxy --keywords`"+`; a test holds it to the program. docs/haproxy-import.md tells the rest.
+
+## Sections
+
+| section | what becomes of it |
+| --- | --- |
+| backend, listen | a pool |
+| defaults | holds for the proxies that follow or name it |
+| frontend | told with a difference: our proxies are the front ends |
+`)
+	for _, k := range kinds {
+		if !slices.Contains([]string{"backend", "listen", "defaults", "frontend"}, k) {
+			fmt.Fprintf(out, "| %s | not carried: it concerns HAProxy itself |\n", k)
+		}
+	}
+	fmt.Fprint(out, `
+## Words of proxy sections
+
+| keyword | what becomes of it | why |
+| --- | --- | --- |
+| server, server-template | carried | name, address and options; a template's servers share its one address |
+| default-server | carried | for the servers below it, and those of proxies that follow its defaults |
+| option redispatch, option allbackups | carried | a second try always goes to another server; all backups come in where only they are left |
+| balance roundrobin, static-rr | with a difference | pick even: round the servers of the proxy's own arc |
+| balance leastconn, random | with a difference | pick pair: the less busy of two drawn by weight |
+| balance, others | with a difference | pick lottery: nothing is bound to a server by a key |
+| hash-type | with a difference | a ring of hashed servers for each proxy; keys are not hashed |
+| timeout server | with a difference | a deadline, never a soft deadline |
+| timeout, others | not carried | our proxies' own |
+| retries | with a difference | the module orders tries, never for what may not run twice |
+| mode | with a difference | our proxies know RPCs of methods |
+| default_backend | with a difference | the pool is carried; which proxies use it is for them to know |
+| acl, use_backend, use-server | not carried | checked (a backend or ACL that does not exist is refused); matches are to be bound to methods by hand |
+| bind | not carried | our proxies' own listeners |
+| maxconn, fullconn, rate-limit | not carried | levels are shares of a method's RPCs, not counts of connections |
+| option, others | not carried | no like here |
+`)
+	for _, k := range slices.Sorted(maps.Keys(elsewhere)) {
+		fmt.Fprintf(out, "| %s | not carried | %s |\n", k, elsewhere[k])
+	}
+	fmt.Fprint(out, "\n## Options of server lines\n\n| option | values | what becomes of it | why |\n| --- | --- | --- | --- |\n")
+	for _, k := range slices.Sorted(maps.Keys(serverOptions)) {
+		o := serverOptions[k]
+		fmt.Fprintf(out, "| %s | %d | %s | %s |\n", k, o.args, o.class, o.why)
+	}
+}
--- a/internal/haproxy/write.go
+++ b/internal/haproxy/write.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"gingerfork/internal/bootstrap"
 )
 
 // Numbers gives each listed server of a pool its number on our list: by its name, so that it keeps the number whatever is
@@ -35,10 +37,10 @@
 // List writes a pool's servers, a line each: server NUMBER NAME weight W addr ADDRESS state open|draining.
 func (p Pool) List() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "# pool %s, from %s\n", p.Name, p.Place)
+	fmt.Fprintf(&b, "# pool %q, from %q line %d\n", p.Name, p.File, p.Line)
 	numbers := p.Numbers()
 	for _, s := range p.Listed() {
-		fmt.Fprintf(&b, "server %d %s weight %d addr %s state %s\n", numbers[s.Name], s.Name, max(1, s.Weight), s.Addr, s.State)
+		fmt.Fprintf(&b, "server %d %s weight %d addr %s state %s\n", numbers[s.Name], bootstrap.Quote(s.Name), max(1, s.Weight), bootstrap.Quote(s.Addr), s.State)
 	}
 	return b.String()
 }
@@ -61,7 +63,7 @@
 	}
 	deadline = min(max(deadline, 0.002), 3600)
 	ms := func(s float64) string { return strconv.FormatFloat(math.Round(s*1000), 'f', -1, 64) + "ms" }
-	return fmt.Sprintf(`# pool %s, from %s
+	return fmt.Sprintf(`# pool %q, from %q line %d
 instance %s
     zone            imported      # not in the import
     listen          127.0.0.1:7400 # not in the import
@@ -93,7 +95,7 @@
     criticality     1             # not in the import
     soft-deadline   %s       # not in the import: when an answer is wanted
     deadline        %s       # %s
-`, p.Name, p.Place, p.Name, ms(warm), said, p.Pick, ms(min(1, deadline/2)), ms(deadline), what)
+`, p.Name, p.File, p.Line, bootstrap.Quote(p.Name), ms(warm), said, p.Pick, ms(min(1, deadline/2)), ms(deadline), what)
 }
 
 // Change is what differs for a server between two imports.
