Importer: ACLs become routes where that is exact, and are told where it is not

Need: schools route by path, host and method; a request on the wrong pool is worse than a line that is told.

Change: use_backend and default_backend become ordered routes on path, method and single-valued headers; from the first that can't be said exactly on, none of its frontend is carried. -o writes them to routes.

Measured: a property test holds rows of terms against conditions reckoned from their words; breaking the order rule or the negation of ACLs of several lines is caught by TestRoutesThatAreNotExact and TestRowsAgainstTheWords.

--- a/cmd/gingerfork/import.go
+++ b/cmd/gingerfork/import.go
@@ -102,6 +102,15 @@
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return fmt.Errorf("make the folder for what is imported: %w", err)
 	}
+	if len(got.Routes) > 0 {
+		var b strings.Builder
+		for _, r := range got.Routes {
+			fmt.Fprintln(&b, r)
+		}
+		if err := os.WriteFile(filepath.Join(c.Out, "routes"), []byte(b.String()), 0o644); err != nil {
+			return fmt.Errorf("write what is imported: %w", err)
+		}
+	}
 	for _, pool := range got.Pools {
 		if strings.ContainsAny(pool.Name, "/\\") || strings.HasPrefix(pool.Name, ".") {
 			return fmt.Errorf("pool %q can't name a file", pool.Name)
--- a/internal/haproxy/import.go
+++ b/internal/haproxy/import.go
@@ -14,6 +14,7 @@
 type Import struct {
 	Files  []File
 	Pools  []Pool // in the files' order
+	Routes []Route
 	Notes  []Note // in the files' order
 	Faults []Fault
 }
@@ -32,7 +33,8 @@
 	kind, name string
 	defaults   *section
 	lines      []Line
-	server     []Line // default-server lines, its defaults' first
+	inexact    map[int]string // by line: why its match is not carried
+	server     []Line         // default-server lines, its defaults' first
 }
 
 type importer struct {
@@ -196,8 +198,13 @@
 		m.pool(s)
 	case "defaults", "frontend":
 		acls := map[string]bool{}
-		for _, l := range s.lines {
-			m.line(s, l, nil, acls)
+		if s.kind == "frontend" {
+			var all []Route
+			all, s.inexact = m.routes(s)
+			m.Routes = append(m.Routes, all...)
+		}
+		for i, l := range s.lines {
+			m.line(s, i, l, nil, acls)
 		}
 	default:
 		for _, l := range s.lines {
@@ -212,14 +219,19 @@
 	if s.defaults != nil { // what they say holds here; it was noted where it stands
 		quiet := &importer{named: m.named, pools: m.pools}
 		for _, l := range s.defaults.inherit() {
-			quiet.line(s, l, p, map[string]bool{})
+			quiet.line(s, -1, l, p, map[string]bool{})
 		}
 	}
-	for _, l := range s.lines {
+	if s.kind == "listen" {
+		var all []Route
+		all, s.inexact = m.routes(s)
+		m.Routes = append(m.Routes, all...)
+	}
+	for i, l := range s.lines {
 		if l.Word(0) == "default-server" {
 			s.server = append(s.server, l)
 		}
-		m.line(s, l, p, acls)
+		m.line(s, i, l, p, acls)
 	}
 	seen, ids := map[string]Server{}, map[int]Server{}
 	for _, x := range p.Servers {
@@ -242,7 +254,7 @@
 }
 
 // line says what becomes of a line of a proxy section or of defaults; p is nil where there is no pool.
-func (m *importer) line(s *section, l Line, p *Pool, acls map[string]bool) {
+func (m *importer) line(s *section, at int, l Line, p *Pool, acls map[string]bool) {
 	word, arg := l.Word(0), l.Word(1)
 	if word == "no" && len(l.Tokens) > 1 { // "no option x" turns something off
 		m.note(l, Dropped, "it turns off what is not carried either")
@@ -300,7 +312,14 @@
 		}
 	case "acl":
 		acls[arg] = true
-		m.note(l, Dropped, "matches are not carried yet: bind methods to pools by hand")
+		switch why := s.inexact[at]; {
+		case s.kind == "backend" || s.kind == "defaults":
+			m.note(l, Dropped, "matches within a pool are our proxies' own")
+		case why != "":
+			m.note(l, Dropped, "%s", why)
+		default:
+			m.note(l, Carried, "in the routes that use it")
+		}
 	case "use_backend", "default_backend":
 		if !strings.Contains(arg, "%[") {
 			if m.pools[arg] == nil {
@@ -309,9 +328,14 @@
 		}
 		if word == "use_backend" {
 			m.conditions(l, acls)
-			m.note(l, Dropped, "matches are not carried yet: bind methods to pools by hand")
-		} else {
-			m.note(l, Differs, "the pool is carried; which proxies use it is for them to know")
+		}
+		switch why := s.inexact[at]; {
+		case s.kind == "defaults":
+			m.note(l, Dropped, "routes are read where they stand in a frontend, not in defaults")
+		case why != "":
+			m.note(l, Dropped, "%s: bind methods to pools by hand", why)
+		default:
+			m.note(l, Carried, "a route")
 		}
 	case "use-server":
 		m.conditions(l, acls)
@@ -341,7 +365,7 @@
 	for _, t := range l.Tokens[at+1:] {
 		name := strings.TrimPrefix(t.Text, "!")
 		switch {
-		case t.Text == "{":
+		case name == "{":
 			nested = true
 		case t.Text == "}":
 			nested = false
--- a/internal/haproxy/page.go
+++ b/internal/haproxy/page.go
@@ -42,8 +42,8 @@
 | timeout, others | not carried | our proxies' own |
 | retries | with a difference | the module orders tries, never for what may not run twice |
 | mode | with a difference | our proxies know RPCs of methods |
-| default_backend | with a difference | the pool is carried; which proxies use it is for them to know |
-| acl, use_backend, use-server | not carried | checked (a backend or ACL that does not exist is refused); matches are to be bound to methods by hand |
+| acl, use_backend, default_backend | carried where exact | routes on path, method and single-valued headers (whole, beginning, end, part, found; -i); from the first use_backend that is not exact on none of its frontend is, as order counts; a backend or ACL that does not exist is refused |
+| use-server | not carried | its ACLs are checked |
 | bind | not carried | our proxies' own listeners |
 | maxconn, fullconn, rate-limit | not carried | levels are shares of a method's RPCs, not counts of connections |
 | option, others | not carried | no like here |
--- /dev/null
+++ b/internal/haproxy/routes_test.go
@@ -0,0 +1,147 @@
+package haproxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const routed = `frontend www
+    acl img path_end -i .png .jpg
+    acl adm path_beg /admin
+    acl adm hdr(host) -i admin.example
+    acl write method POST PUT
+    use_backend deny if adm !{ hdr(x-staff) -m found }
+    use_backend admin if adm
+    use_backend static if img METH_GET or { path /favicon.ico }
+    use_backend writes unless !write
+    default_backend tasks
+backend deny
+    server a h:1
+backend admin
+    server a h:1
+backend static
+    server a h:1
+backend writes
+    server a h:1
+backend tasks
+    server a h:1
+`
+
+func TestRoutes(t *testing.T) {
+	got := read(routed)
+	if len(got.Faults) > 0 || len(got.Routes) != 5 {
+		t.Fatalf("%v %v", got.Faults, got.Routes)
+	}
+	for _, n := range got.Notes {
+		if n.Class == Dropped {
+			t.Errorf("not carried: %s: %s", n.Text(), n.Why)
+		}
+	}
+	host := func(h string, more ...string) map[string][]string {
+		m := map[string][]string{"host": {h}}
+		for _, x := range more {
+			m[x] = []string{"1"}
+		}
+		return m
+	}
+	for _, c := range []struct {
+		q    Request
+		want string
+	}{
+		{Request{"GET", "/", host("www.example")}, "tasks"},
+		{Request{"GET", "/a.PNG", host("www.example")}, "static"},
+		{Request{"HEAD", "/a.jpg", nil}, "static"},
+		{Request{"POST", "/a.jpg", nil}, "writes"},
+		{Request{"PUT", "/favicon.ico", nil}, "static"},
+		{Request{"PUT", "/x", nil}, "writes"},
+		{Request{"DELETE", "/x.jpg", nil}, "tasks"},
+		{Request{"GET", "/admin/a.png", host("www.example")}, "deny"},
+		{Request{"GET", "/admin/a.png", host("www.example", "x-staff")}, "admin"},
+		{Request{"GET", "/", host("ADMIN.example")}, "deny"},
+		{Request{"GET", "/Admin", host("www.example")}, "tasks"},
+	} {
+		if to := Pick(got.Routes, "www", c.q); to != c.want {
+			t.Errorf("%v goes to %q, %q wanted", c.q, to, c.want)
+		}
+	}
+}
+
+// What can't be said exactly is told, and whatever stands behind it in its frontend, too: it would hold where it must not.
+func TestRoutesThatAreNotExact(t *testing.T) {
+	for acl, why := range map[string]string{
+		"path_reg ^/a": "path_reg has no like", "src 10.0.0.0/8": "src has no like", "path_beg -f /etc/paths": "flag -f has no like",
+		"hdr(accept) -m sub html": "may hold several values", "path,lower -m beg /a": "has no like", "path -m reg x": "this match has no like", "method": "no patterns",
+	} {
+		got := read("frontend f\nacl early path /early\nacl x " + acl + "\nuse_backend p if early\nuse_backend p if x\nuse_backend p if early\ndefault_backend p\nbackend p\nserver a h:1\n")
+		var all []string
+		for _, n := range got.Notes {
+			if n.Class == Dropped {
+				all = append(all, fmt.Sprintf("%d %s", n.Line.Line, n.Why))
+			}
+		}
+		text := strings.Join(all, "; ")
+		if len(got.Faults) > 0 || len(got.Routes) != 1 || !strings.Contains(text, why) || !strings.Contains(text, "6 the use_backend of line 5 stands before it") || !strings.Contains(text, "7 the use_backend of line 5") {
+			t.Errorf("%s: %v; %d routes; %s", acl, got.Faults, len(got.Routes), text)
+		}
+	}
+}
+
+// Rows of terms against the condition reckoned straight from its words.
+func TestRowsAgainstTheWords(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		names := []string{"a", "b", "c"}
+		lines := map[string][]string{}
+		var text strings.Builder
+		text.WriteString("frontend f\n")
+		for _, n := range names {
+			for range rapid.IntRange(1, 3).Draw(rt, "lines") {
+				p := "/" + rapid.StringMatching("[xy]{1,2}").Draw(rt, "path")
+				lines[n] = append(lines[n], p)
+				fmt.Fprintf(&text, "acl %s path_beg %s\n", n, p)
+			}
+		}
+		type word struct {
+			name string
+			not  bool
+		}
+		var cond [][]word
+		how := rapid.SampledFrom([]string{"if", "unless"}).Draw(rt, "how")
+		fmt.Fprintf(&text, "use_backend p %s", how)
+		for i := range rapid.IntRange(1, 3).Draw(rt, "rows") {
+			if i > 0 {
+				text.WriteString(" ||")
+			}
+			var row []word
+			for range rapid.IntRange(1, 3).Draw(rt, "terms") {
+				w := word{rapid.SampledFrom(names).Draw(rt, "acl"), rapid.Bool().Draw(rt, "not")}
+				row = append(row, w)
+				text.WriteString(map[bool]string{true: " !", false: " "}[w.not] + w.name)
+			}
+			cond = append(cond, row)
+		}
+		text.WriteString("\nbackend p\nserver a h:1\n")
+		got := read(text.String())
+		if len(got.Routes) != 1 || len(got.Faults) > 0 {
+			rt.Fatalf("%s: %+v", text.String(), got)
+		}
+		q := Request{Path: "/" + rapid.StringMatching("[xyz]{0,3}").Draw(rt, "asked")}
+		want := false
+		for _, row := range cond {
+			all := true
+			for _, w := range row {
+				hit := false
+				for _, p := range lines[w.name] {
+					hit = hit || strings.HasPrefix(q.Path, p)
+				}
+				all = all && hit != w.not
+			}
+			want = want || all
+		}
+		if got.Routes[0].Holds(q) != (want == (how == "if")) {
+			rt.Fatalf("%s for %s: %v", text.String(), q.Path, got.Routes[0])
+		}
+	})
+}
