A followed list under the rule checker; status of its file; stable imports

Change: a test plays a fleet whose list follows files (a server leaves, the service dies between two files, a cut file, a flap, a coordinator dies) under the rule checker; a changed weight is held to be a line; the state folder has list-from.status; samples import again to the same list; a fuzz target for the lexer.

--- a/cmd/gingerfork/follow.go
+++ b/cmd/gingerfork/follow.go
@@ -8,6 +8,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"time"
 
 	"gingerfork/internal/bootstrap"
 	"gingerfork/internal/follow"
@@ -19,16 +21,18 @@
 // source is the list service that a coordinator's process runs itself, where its settings name a file; nil: it runs none.
 type source struct {
 	file, pool string
+	dir        string // where the status is kept; "": nowhere
 	service    *listing.Service
 	loop       *loop.Loop
 	log        *slog.Logger
+	writing    sync.Mutex // the status is written by whoever reads the file and by the service's owner
 }
 
 func follows(ctx context.Context, t *bootstrap.Trade, dir string, clock *loop.Clock, log *slog.Logger) (*source, error) {
 	if file := t.Text("list-from"); file == "" || file == "-" {
 		return nil, nil
 	}
-	s := &source{file: t.Text("list-from"), pool: strings.TrimPrefix(t.Text("list-pool"), "-"), log: log}
+	s := &source{file: t.Text("list-from"), pool: strings.TrimPrefix(t.Text("list-pool"), "-"), dir: dir, log: log}
 	var kept []byte
 	if dir != "" {
 		var err error
@@ -41,9 +45,11 @@
 		func(changed int, err error) {
 			if err != nil {
 				log.Error("the file of servers is held back; the list stays as it was", "file", s.file, "cause", err.Error())
+				s.status("held back", err.Error())
 				return
 			}
 			log.Info("the file of servers was read", "file", s.file, "changed", changed)
+			s.status("in force", fmt.Sprintf("%d servers changed", changed))
 		})
 	if err != nil {
 		log.Warn("what was followed before is not usable; the list starts anew", "cause", err.Error())
@@ -71,11 +77,31 @@
 	}
 	if err != nil {
 		s.log.Error("the file of servers is bad; the list stays as it was", "file", s.file, "cause", err.Error())
+		s.status("bad", err.Error())
 		return
 	}
 	s.loop.Between(func() { s.service.Offer(servers) })
 }
 
+// status says in the state folder what became of the file when it was read last, for whoever has no log at hand. It is
+// replaced whole, so that a reader never sees half of it.
+func (s *source) status(verdict, why string) {
+	if s.dir == "" {
+		return
+	}
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	name := filepath.Join(s.dir, "list-from.status")
+	text := fmt.Sprintf("file %s\nread %s\nverdict %s\nreason %s\n", bootstrap.Quote(s.file), time.Now().UTC().Format(time.RFC3339), bootstrap.Quote(verdict), bootstrap.Quote(why))
+	err := os.WriteFile(name+".new", []byte(text), 0o644)
+	if err == nil {
+		err = os.Rename(name+".new", name)
+	}
+	if err != nil {
+		s.log.Warn("the status of the file of servers could not be written", "cause", err.Error())
+	}
+}
+
 func (s *source) end() {
 	if s != nil {
 		s.loop.Stop()
--- a/cmd/gingerfork/follow_test.go
+++ b/cmd/gingerfork/follow_test.go
@@ -38,12 +38,17 @@
 	put(whole[:len(whole)-30]) // halfway through a write, within a line: what is left makes sense and lacks a server
 	hup()
 	eventually(t, "a file that is cut short", func() bool { return c.said("the file of servers is bad") })
+	status := func() string { b, _ := os.ReadFile(filepath.Join(dir, "kept", "list-from.status")); return string(b) }
+	eventually(t, "its status", func() bool {
+		return strings.Contains(status(), "verdict bad") && strings.Contains(status(), "cut short")
+	})
 	put("backend tasks\n    server a " + s1 + " weight 10\n")
 	hup()
 	eventually(t, "a file that loses most", func() bool { return c.said("2 of 3 servers out of use") })
 	put(strings.Replace(whole, "weight 10", "weight 30", 1))
 	hup()
 	eventually(t, "a changed weight", func() bool { return c.said(`"changed":1`) })
+	eventually(t, "its status", func() bool { return strings.Contains(status(), `verdict "in force"`) })
 	if err := f.cmd.Wait(); err != nil {
 		t.Logf("load: %v", err) // a busy machine may make it late, which it says
 	}
--- a/internal/haproxy/import.go
+++ b/internal/haproxy/import.go
@@ -344,6 +344,20 @@
 		m.note(l, Dropped, "our proxies' own listeners")
 	case "maxconn", "fullconn", "rate-limit":
 		m.note(l, Dropped, "levels are shares of a method's RPCs, set by the module, not counts of connections")
+	case "stick-table":
+		for i := 1; i+1 < len(l.Tokens); i++ {
+			var err error
+			switch l.Word(i) {
+			case "size":
+				_, err = Size(l.Word(i + 1))
+			case "expire":
+				_, err = Duration(l.Word(i + 1))
+			}
+			if err != nil {
+				m.fault(l.Place, "stick-table %s: %v", l.Word(i), err)
+			}
+		}
+		m.note(l, Dropped, "%s", sticky)
 	case "description", "id":
 		m.note(l, Dropped, "for display only")
 	default:
--- a/internal/haproxy/import_test.go
+++ b/internal/haproxy/import_test.go
@@ -132,29 +132,31 @@
 // What can't stand is refused, at its line, and what stands beside it is still read.
 func TestRefused(t *testing.T) {
 	for text, want := range map[string]string{
-		"backend a\nserver x 1.1.1.1:1\nserver x 1.1.1.2:1":                 "a.cfg:3: server x is listed twice in a, first at line 2",
-		"backend a\nserver-template x 2 h:1\nserver x2 1.1.1.2:1":           "a.cfg:3: server x2 is listed twice",
-		"backend a\nserver x 1.1.1.1:1 id 5\nserver y 1.1.1.2:1 id 5":       "a.cfg:3: id 5 of server y",
-		"backend a\nserver x 1.1.1.1:1 weight 0":                            "a.cfg:1: the weights of a sum to nothing",
-		"backend a\nserver x 1.1.1.1:1 disabled":                            "a.cfg:1: a has no server in use",
-		"backend a\nmode tcp":                                               "a.cfg:1: a has no servers",
-		"frontend f\nuse_backend b if TRUE":                                 "a.cfg:2: use_backend b: there is no such backend",
-		"backend a\nserver x 1.1.1.1:1 track y\nserver y 1.1.1.1:1 track x": "a.cfg:2: server x tracks itself in a circle",
-		"backend a\nserver x 1.1.1.1:1 track b/y":                           "a.cfg:2: server x tracks b/y, which does not exist",
-		"backend a\nserver x 1.1.1.1:1\nuse-server x if nope":               "a.cfg:3: ACL nope is used and not defined",
-		"defaults d from d\nbackend a\nserver x 1.1.1.1:1":                  "a.cfg:1: defaults d follow themselves",
-		"backend a\nserver x 1.1.1.1":                                       "a.cfg:2: server x: 1.1.1.1 has no port",
-		"backend a\nserver x 1.1.1.1:1 weight 257":                          `a.cfg:2: weight: "257" is no whole number from 0 to 256`,
-		"backend a\nserver x 1.1.1.1:1 slowstart soon":                      "a.cfg:2: slowstart:",
-		"backend a\nserver x 1.1.1.1:1 weight":                              "a.cfg:2: weight needs a value",
-		".if 1\nbackend a\nserver x 1.1.1.1:1":                              "a.cfg:1: an .if that is never closed",
-		".if what(1)\n.endif\nbackend a\nserver x 1.1.1.1:1":                "a.cfg:1: .if: predicate what",
-		".alert no\nbackend a\nserver x 1.1.1.1:1":                          "a.cfg:1: .alert: no",
-		"server x 1.1.1.1:1":                                                "a.cfg:1: server before any section",
-		"frontend f\nserver x 1.1.1.1:1":                                    "a.cfg:2: server in a frontend section",
-		"backend a\nserver x 1.1.1.1:1\nbackend a\nserver x 1.1.1.1:1":      "a.cfg:3: backend a is at line 1 already",
-		"backend a\nserver x 1.1.1.1:+1":                                    "a.cfg:2: server x: a port relative",
-		"backend a\nserver x 1.1.1.1:1-3":                                   "a.cfg:2: server x: a server has one port",
+		"backend a\nserver x 1.1.1.1:1\nserver x 1.1.1.2:1":                    "a.cfg:3: server x is listed twice in a, first at line 2",
+		"backend a\nserver-template x 2 h:1\nserver x2 1.1.1.2:1":              "a.cfg:3: server x2 is listed twice",
+		"backend a\nserver x 1.1.1.1:1 id 5\nserver y 1.1.1.2:1 id 5":          "a.cfg:3: id 5 of server y",
+		"backend a\nserver x 1.1.1.1:1 weight 0":                               "a.cfg:1: the weights of a sum to nothing",
+		"backend a\nserver x 1.1.1.1:1 disabled":                               "a.cfg:1: a has no server in use",
+		"backend a\nmode tcp":                                                  "a.cfg:1: a has no servers",
+		"frontend f\nuse_backend b if TRUE":                                    "a.cfg:2: use_backend b: there is no such backend",
+		"backend a\nserver x 1.1.1.1:1 track y\nserver y 1.1.1.1:1 track x":    "a.cfg:2: server x tracks itself in a circle",
+		"backend a\nserver x 1.1.1.1:1 track b/y":                              "a.cfg:2: server x tracks b/y, which does not exist",
+		"backend a\nserver x 1.1.1.1:1\nuse-server x if nope":                  "a.cfg:3: ACL nope is used and not defined",
+		"defaults d from d\nbackend a\nserver x 1.1.1.1:1":                     "a.cfg:1: defaults d follow themselves",
+		"backend a\nserver x 1.1.1.1":                                          "a.cfg:2: server x: 1.1.1.1 has no port",
+		"backend a\nserver x 1.1.1.1:1 weight 257":                             `a.cfg:2: weight: "257" is no whole number from 0 to 256`,
+		"backend a\nserver x 1.1.1.1:1 slowstart soon":                         "a.cfg:2: slowstart:",
+		"backend a\nserver x 1.1.1.1:1 weight":                                 "a.cfg:2: weight needs a value",
+		".if 1\nbackend a\nserver x 1.1.1.1:1":                                 "a.cfg:1: an .if that is never closed",
+		".if what(1)\n.endif\nbackend a\nserver x 1.1.1.1:1":                   "a.cfg:1: .if: predicate what",
+		".alert no\nbackend a\nserver x 1.1.1.1:1":                             "a.cfg:1: .alert: no",
+		"backend a\nserver x 1.1.1.1:1\nstick-table type ip size 1q expire 5m": `a.cfg:3: stick-table size: "1q" is no size`,
+		"backend a\nserver x 1.1.1.1:1\nstick-table type ip size 1m expire 5x": `a.cfg:3: stick-table expire: "5x" is no time`,
+		"server x 1.1.1.1:1":                                                   "a.cfg:1: server before any section",
+		"frontend f\nserver x 1.1.1.1:1":                                       "a.cfg:2: server in a frontend section",
+		"backend a\nserver x 1.1.1.1:1\nbackend a\nserver x 1.1.1.1:1":         "a.cfg:3: backend a is at line 1 already",
+		"backend a\nserver x 1.1.1.1:+1":                                       "a.cfg:2: server x: a port relative",
+		"backend a\nserver x 1.1.1.1:1-3":                                      "a.cfg:2: server x: a server has one port",
 	} {
 		got := read(text)
 		if len(got.Faults) != 1 || !strings.HasPrefix(got.Faults[0].String(), want) {
@@ -261,6 +263,36 @@
 	})
 }
 
+// What was imported, written as HAProxy has it and imported again, is the same list.
+func TestImportIsStable(t *testing.T) {
+	files, err := samples.ReadDir("samples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		one := read(sample(t, f.Name()))
+		if len(one.Faults) > 0 {
+			continue
+		}
+		var b strings.Builder
+		for _, p := range one.Pools {
+			fmt.Fprintf(&b, "backend %s\n", p.Name)
+			for _, s := range p.Listed() {
+				fmt.Fprintf(&b, "server %s %s weight %d\n", s.Name, s.Addr, s.Weight)
+			}
+		}
+		two := read(b.String())
+		if d := Diff(one, two); len(two.Faults) > 0 || len(d) > 0 || len(one.Pools) != len(two.Pools) {
+			t.Errorf("%s: %v %v", f.Name(), two.Faults, d)
+		}
+		for i, p := range one.Pools {
+			if a, b := p.Numbers(), two.Pools[i].Numbers(); a[p.Listed()[0].Name] != b[p.Listed()[0].Name] {
+				t.Errorf("%s, pool %s: other numbers", f.Name(), p.Name)
+			}
+		}
+	}
+}
+
 func TestDiff(t *testing.T) {
 	old := read("backend a\nserver x 1.1.1.1:1 weight 2\nserver y 1.1.1.2:1\nserver z 1.1.1.3:1\n")
 	now := read("backend a\nserver x 1.1.1.1:1 weight 3\nserver z 1.1.1.3:1\nserver n 1.1.1.4:1\nbackend b\nserver z 1.1.1.3:1\n")
@@ -289,3 +321,36 @@
 		}
 	})
 }
+
+// What is lexed and written again with every argument quoted is lexed to the same arguments.
+func FuzzLex(f *testing.F) {
+	files, err := samples.ReadDir("samples")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, x := range files {
+		if x.Name() != "many.cfg" {
+			f.Add(sample(f, x.Name()))
+		}
+	}
+	env := map[string]string{"SITE": "perth", "LIST": "a b", "EMPTY": ""}
+	f.Fuzz(func(t *testing.T, text string) {
+		file, _ := Lex("a", text, env)
+		if file.Text() != text {
+			t.Fatal("it is not written back as it was")
+		}
+		for _, l := range file.Lines {
+			var b strings.Builder
+			for _, k := range l.Tokens {
+				b.WriteString(` "` + strings.NewReplacer(`\`, `\\`, `"`, `\"`, `$`, `\$`).Replace(k.Text) + `"`)
+			}
+			again, faults := Lex("b", b.String(), env)
+			if strings.ContainsAny(b.String(), "\n\r") {
+				continue // a line end in an argument can only be written by an escape
+			}
+			if len(faults) > 0 || len(again.Lines) != 1 || texts(again.Lines[0]) != texts(l) {
+				t.Fatalf("%q became %q: %v %v", l.Words(), b.String(), again.Lines, faults)
+			}
+		}
+	})
+}
--- a/internal/haproxy/keywords.go
+++ b/internal/haproxy/keywords.go
@@ -53,7 +53,7 @@
 	"capture": logging, "declare": logging, "http-request": http, "http-response": http, "http-after-response": http, "http-error": http, "http-reuse": reuse, "http-send-name-header": http,
 	"http-check": checks, "tcp-check": checks, "external-check": checks, "tcp-request": tcp, "tcp-response": tcp, "quic-initial": tcp, "redirect": http, "errorfile": http, "errorfiles": http, "errorloc": http,
 	"errorloc302": http, "errorloc303": http, "compression": http, "filter": http, "monitor": http, "monitor-uri": http, "monitor-net": http, "dispatch": "a proxy without servers' names is not carried",
-	"cookie": sticky, "appsession": sticky, "persist": sticky, "force-persist": sticky, "ignore-persist": sticky, "stick": sticky, "stick-table": sticky, "stats": "our own status takes its place",
+	"cookie": sticky, "appsession": sticky, "persist": sticky, "force-persist": sticky, "ignore-persist": sticky, "stick": sticky, "stats": "our own status takes its place",
 	"enabled": "it changes nothing here", "disabled": "a proxy that is disabled: leave it out of the import", "backlog": tcp, "bind-process": tcp, "source": tcp, "transparent": tcp, "grace": "our drains have their own grace",
 	"hash-balance-factor": "our arcs bound what a server takes by themselves", "load-server-state-from-file": "what is drained is kept by the coordinator", "server-state-file-name": "what is drained is kept by the coordinator",
 	"email-alert": "no mail is sent", "retry-on": "the module orders tries: after proof, or where a second run does no harm", "max-keep-alive-queue": reuse, "clitcpka-cnt": tcp, "clitcpka-idle": tcp,
--- a/internal/haproxy/page.go
+++ b/internal/haproxy/page.go
@@ -44,6 +44,7 @@
 | mode | with a difference | our proxies know RPCs of methods |
 | acl, use_backend, default_backend | carried where exact | routes on path, method and single-valued headers (whole, beginning, end, part, found; -i); from the first use_backend that is not exact on none of its frontend is, as order counts; a backend or ACL that does not exist is refused |
 | use-server | not carried | its ACLs are checked |
+| stick-table | not carried | nothing is bound to a server; its size and times are checked |
 | bind | not carried | our proxies' own listeners |
 | maxconn, fullconn, rate-limit | not carried | levels are shares of a method's RPCs, not counts of connections |
 | option, others | not carried | no like here |
--- /dev/null
+++ b/internal/listing/day_test.go
@@ -0,0 +1,226 @@
+package listing
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/coordinator"
+	"gingerfork/internal/emulator"
+	"gingerfork/internal/follow"
+	"gingerfork/internal/machine"
+	"gingerfork/internal/proto"
+	"gingerfork/internal/rehearse"
+	"gingerfork/internal/rules"
+	"gingerfork/internal/standin"
+	"gingerfork/internal/trace"
+	"gingerfork/internal/virtual"
+)
+
+// watched writes the trace of what a list service says, as the list stand-in does of itself, for the rule checker.
+type watched struct {
+	*Service
+	out  map[machine.Conn]*proto.Reader
+	in   map[machine.Conn]*proto.Reader
+	name map[machine.Conn]string
+	seen uint64
+}
+
+func (w *watched) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
+	for _, i := range in {
+		switch i.Kind {
+		case machine.Opened:
+			w.in[i.Conn], w.out[i.Conn] = &proto.Reader{}, &proto.Reader{}
+			w.in[i.Conn].Open()
+			w.out[i.Conn].Open()
+		case machine.Data:
+			w.in[i.Conn].Feed(i.Data)
+			for m, _ := w.in[i.Conn].Next(); m != nil; m, _ = w.in[i.Conn].Next() {
+				switch m := m.(type) {
+				case proto.Hello:
+					w.name[i.Conn] = m.Name
+				case proto.Watch, proto.Fetch:
+					out.Record(trace.Record{T: now, Kind: trace.Ask, Of: w.name[i.Conn]})
+				}
+			}
+		}
+	}
+	w.Service.Step(now, in, out)
+	if v := w.f.Version(); v != w.seen { // the truth, whoever hears it
+		w.seen = v
+		text := "full"
+		for _, e := range w.f.Entries() {
+			text += fmt.Sprintf(" %d:%c:%.3f:%s", e.Number, "odg"[e.State], e.Start, w.zone)
+		}
+		out.Record(trace.Record{T: now, Kind: trace.List, N: int64(v), Text: text})
+	}
+	for _, a := range out.Acts {
+		r := w.out[a.Conn]
+		if a.Kind != machine.Write || r == nil {
+			continue
+		}
+		r.Feed(a.Data)
+		for m, _ := r.Next(); m != nil; m, _ = r.Next() {
+			l, is := m.(proto.List)
+			if !is || l.Kind == proto.ListError || l.Kind == proto.ListChanges && len(l.Entries) == 0 {
+				continue
+			}
+			text := []string{"full", "changes"}[l.Kind]
+			for _, e := range l.Entries {
+				start := now - e.Age
+				if e.Old {
+					start = 0
+				}
+				text += fmt.Sprintf(" %d:%c:%.3f:%s", e.EP, "god"[e.State], start, e.Zone)
+			}
+			out.Record(trace.Record{T: now, Kind: trace.List, Of: w.name[a.Conn], N: int64(l.Version), Text: text})
+		}
+	}
+}
+
+// followed plays a fleet whose list follows files: what happens at which second. It gives the report, what was held back, and
+// the records.
+func followed(t *testing.T, seconds float64, happens map[float64]func(offer func([]follow.Server), w *virtual.World)) (rules.Report, []string, []trace.Record) {
+	t.Helper()
+	conf, err := rehearse.File("perth.conf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, faults := bootstrap.Lex("perth.conf", string(conf))
+	trade, more := bootstrap.Parse("perth.conf", lines)
+	if len(faults)+len(more) > 0 {
+		t.Fatal(faults, more)
+	}
+	const epoch, zone = 1e6, "dc-kewdale"
+	w := virtual.New(3, epoch, 0.0003, 0.0006)
+	var records []trace.Record
+	w.Trace = func(r trace.Record) { records = append(records, r) }
+	var held []string
+	var now *Service
+	w.Add("list", zone, func(_ machine.Seconds, files map[string][]byte) machine.Machine {
+		s, err := New("list", zone, follow.Terms{DrainFor: 4, MostLost: 0.5}, files[Kept], func(_ int, err error) {
+			if err != nil {
+				held = append(held, err.Error())
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now = s
+		return &watched{Service: s, out: map[machine.Conn]*proto.Reader{}, in: map[machine.Conn]*proto.Reader{}, name: map[machine.Conn]string{}}
+	}, "list")
+	// An offer is looked at in the next step, as on sockets.
+	offer := func(s []follow.Server) { now.Offer(s); w.Tell("list", "look") }
+	w.Start("list")
+	offer(servers(6, 1))
+	for i, s := range servers(6, 1) {
+		w.Add(s.Addr, zone, func(machine.Seconds, map[string][]byte) machine.Machine {
+			return emulator.NewServer(emulator.Trade{EP: s.Number, Zone: zone, Cores: 4, Speed: 1, Work: []emulator.Work{{Mean: 0.02}}, QueueMost: 100, Seed: uint64(i)})
+		}, s.Addr)
+		w.Start(s.Addr)
+	}
+	for i := range 2 {
+		name := fmt.Sprint("c", i)
+		w.Add(name, zone, func(at machine.Seconds, files map[string][]byte) machine.Machine {
+			b := trade.Coordinator(at)
+			values := map[string]any{}
+			for k, v := range b.Values {
+				values[k] = v
+			}
+			values["self"], values["coordinators"] = float64(i), 2.0
+			b.Values, b.Seed = values, uint64(i)+1
+			return coordinator.NewMachine(coordinator.Bootstrap{Name: name, Zone: zone, ListAddr: "list", Module: b, Handshake: 1, Silence: 10, ListSilence: 5,
+				ProbeTimeout: 1, MostStreams: 100, MostProbes: 10}, files[coordinator.KeptList])
+		}, name)
+		records = append(records, trace.Record{T: epoch, Kind: trace.Boot, Who: name})
+		w.Start(name)
+	}
+	m := trade.Coordinator(0)
+	for i := range 8 {
+		name := fmt.Sprint("f", i)
+		w.Add(name, zone, func(machine.Seconds, map[string][]byte) machine.Machine {
+			return standin.NewFrontEnd(standin.FrontTrade{Name: name, Zone: zone, Coordinators: []string{fmt.Sprint("c", i%2), fmt.Sprint("c", 1-i%2)},
+				Methods: standin.Methods(trade.Methods, m), Rate: 15, Pick: m.Word("pick"), KeepAway: 5, TryWait: 0.8, Period: 2, ConnectTimeout: 0.25, Seed: uint64(i) + 1})
+		})
+		w.Start(name)
+	}
+	for at, do := range happens {
+		w.At(epoch+at, func() { do(offer, w) })
+	}
+	w.Run(epoch + seconds)
+	if len(w.Fails) > 0 {
+		t.Fatal(w.Fails)
+	}
+	report, err := rules.Check(records, (&rehearse.Day{Trade: trade}).Limits())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Rules {
+		if v.Broken > 0 {
+			t.Errorf("rule %d at %.3f, %s: %s", v.Rule, v.T-epoch, v.Who, v.Why)
+		}
+	}
+	return report, held, records
+}
+
+// The file loses a server, the service dies and comes back between two files, a file is cut short, another flaps, a server
+// moves: all rules are kept, and hardly an RPC is lost.
+func TestFollowedListKeepsTheRules(t *testing.T) {
+	five := servers(5, 1)
+	report, held, records := followed(t, 40, map[float64]func(func([]follow.Server), *virtual.World){
+		5:  func(offer func([]follow.Server), _ *virtual.World) { offer(five) },
+		7:  func(_ func([]follow.Server), w *virtual.World) { w.Kill("list") },
+		10: func(offer func([]follow.Server), w *virtual.World) { w.Start("list"); offer(servers(4, 1)) }, // the last one's drain ended meanwhile
+		16: func(offer func([]follow.Server), _ *virtual.World) { offer(servers(1, 1)) },                  // cut short
+		18: func(offer func([]follow.Server), _ *virtual.World) { offer(five) },
+		19: func(offer func([]follow.Server), _ *virtual.World) { offer(servers(4, 1)) },
+		20: func(offer func([]follow.Server), _ *virtual.World) { offer(five) },
+		24: func(_ func([]follow.Server), w *virtual.World) { w.Kill("c0") },
+		25: func(offer func([]follow.Server), w *virtual.World) { w.Start("c0"); offer(servers(6, 1)) },
+	})
+	if len(held) != 1 || !strings.Contains(held[0], "out of use") {
+		t.Errorf("held back: %q", held)
+	}
+	if report.Service.Share() < 0.97 || report.Service.Aborted > 0 {
+		t.Errorf("service %.3f, %d aborted", report.Service.Share(), report.Service.Aborted)
+	}
+	drained := 0
+	for _, r := range records {
+		if r.Kind == trace.List && r.Of != "" && strings.Contains(r.Text, "6:d:") {
+			drained++
+		}
+	}
+	if drained == 0 {
+		t.Error("no coordinator was told of the drain")
+	}
+}
+
+// A changed weight goes to proxies as lines, not as new tables.
+func TestChangedWeightIsALine(t *testing.T) {
+	heavier := servers(6, 1)
+	heavier[2].Weight = 1.3
+	_, _, records := followed(t, 20, map[float64]func(func([]follow.Server), *virtual.World){
+		12: func(offer func([]follow.Server), _ *virtual.World) { offer(heavier) },
+	})
+	lines := map[string]int{}
+	for _, r := range records {
+		if r.Kind != trace.Apply || r.T < 1e6+12 || r.T > 1e6+14 {
+			continue
+		}
+		if strings.Contains(r.Text, "bind") {
+			t.Errorf("%s was given a new table: %s", r.Who, r.Text)
+		}
+		if strings.Contains(r.Text, " 3:1.3") {
+			lines[r.Who]++
+		}
+	}
+	if len(lines) == 0 {
+		t.Error("no proxy was told of the weight")
+	}
+	for who, n := range lines {
+		if n > 2 { // a line for each table
+			t.Errorf("%s was told %d times", who, n)
+		}
+	}
+}
