Importer: a dead result goes

Need: a read-through found that settling a pool gave notes which were never any. Change: it gives faults alone.

--- a/internal/haproxy/import.go
+++ b/internal/haproxy/import.go
@@ -248,8 +248,7 @@
 			}
 		}
 	}
-	notes, faults := p.settle()
-	m.Notes, m.Faults = append(m.Notes, notes...), append(m.Faults, faults...)
+	m.Faults = append(m.Faults, p.settle()...)
 	m.Pools = append(m.Pools, *p)
 }
 
--- a/internal/haproxy/model.go
+++ b/internal/haproxy/model.go
@@ -82,7 +82,7 @@
 }
 
 // settle says what each server of a pool would get, by what proxies do, not by what the words are called.
-func (p *Pool) settle() (notes []Note, faults []Fault) {
+func (p *Pool) settle() (faults []Fault) {
 	active := 0
 	for i := range p.Servers {
 		s := &p.Servers[i]
@@ -96,10 +96,10 @@
 		}
 	}
 	if p.lacks && active == 0 {
-		return nil, nil
+		return nil
 	}
 	if len(p.Servers) == 0 {
-		return nil, []Fault{{p.Place, fmt.Sprintf("%s has no servers", p.Name)}}
+		return []Fault{{p.Place, fmt.Sprintf("%s has no servers", p.Name)}}
 	}
 	if active == 0 {
 		// Backups come in when no other can be used: the first, or all of them.
@@ -124,7 +124,7 @@
 		}
 		faults = append(faults, Fault{p.Place, what})
 	}
-	return notes, faults
+	return faults
 }
 
 // Duration reads a time of the manual's 2.5: a number with us, ms, s, m, h or d; ms where none is given.
