--- a/cmd/gingerfork/rehearse.go
+++ b/cmd/gingerfork/rehearse.go
@@ -16,7 +16,7 @@
 )
 
 type rehearseCmd struct {
-	Days    []string `arg:"" optional:"" help:"Days that come with the program (evening, deploy, cut), or files. None: evening."`
+	Days    []string `arg:"" optional:"" help:"Days that come with the program (evening, deploy, cut, fleet, or incidents for all twelve), or files. None: evening."`
 	Virtual bool     `help:"In virtual time, over a network in memory: seconds instead of minutes, the same each time."`
 	JSON    bool     `help:"Print the result as JSON lines."`
 	Trace   string   `help:"Write what passed to this file, one record a line." placeholder:"FILE"`
