--- a/choice/choice.go
+++ b/choice/choice.go
@@ -662,7 +662,11 @@
 func (c *Planner) free(at string) Tries {
 	// A second send is at most one try's wait after the first: is the repeat surely dropped then?
 	soon := c.boot.Num("try_wait", 1)*c.boot.Num(at+"soft_deadline", 1) < 0.9*c.boot.Num(at+"window", 0)
-	if c.boot.Word(at+"effect") == "tokened" && c.boot.Word(at+"group") == "all" && soon {
+	most := c.boot.Word(at + "most_tries")
+	if most == "once" {
+		return TryOnce
+	}
+	if most != "proven" && c.boot.Word(at+"effect") == "tokened" && c.boot.Word(at+"group") == "all" && soon {
 		return TryAgain
 	}
 	return TryProven
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand"
 	"reflect"
+	"slices"
 	"testing"
 )
 
@@ -331,6 +332,16 @@
 }
 
 // A list that changes all the time, or all proxies joining at once, stays inside the limits that step checks.
+// The settings may hold a method's tries below what its effect permits, never above.
+func TestTriesHeldBySettings(t *testing.T) {
+	for most, want := range map[string][]Tries{"": {TryProven, TryAgain}, "free": {TryProven, TryAgain}, "proven": {TryProven, TryProven}, "once": {TryOnce, TryOnce}} {
+		c := newWorld(t, map[string]any{"method.0.most_tries": most, "method.2.most_tries": most}).c
+		if got := []Tries{c.gate.free[0], c.gate.free[2]}; !slices.Equal(got, want) || c.gate.free[1] != TryProven {
+			t.Errorf("%q: %v, %v wanted", most, got, want)
+		}
+	}
+}
+
 func TestLimitsHold(t *testing.T) {
 	w := started(t, map[string]any{"channel_room": 100.0}, 8, 6)
 	w = started(t, nil, 8, 6)
--- a/cmd/gingerfork/check.go
+++ b/cmd/gingerfork/check.go
@@ -12,7 +12,7 @@
 )
 
 type checkCmd struct {
-	Files []string `arg:"" help:"Settings files, or days (files that end in .day)."`
+	Files []string `arg:"" help:"Settings files, days (files that end in .day), or routes (files named routes, or that end in .routes)."`
 }
 
 func (c checkCmd) Run(p *program) error {
@@ -32,6 +32,10 @@
 }
 
 func check(file string) error {
+	if filepath.Base(file) == "routes" || strings.HasSuffix(file, ".routes") {
+		_, err := readRoutes(file)
+		return err
+	}
 	if !strings.HasSuffix(file, ".day") {
 		_, err := bootstrap.Read(file)
 		return err
--- a/cmd/gingerfork/import.go
+++ b/cmd/gingerfork/import.go
@@ -117,7 +117,7 @@
 		if strings.ContainsAny(pool.Name, "/\\") || strings.HasPrefix(pool.Name, ".") {
 			return fmt.Errorf("pool %q can't name a file", pool.Name)
 		}
-		for end, text := range map[string]string{".conf": pool.Settings(), ".list": pool.List()} {
+		for end, text := range map[string]string{".conf": pool.Settings(got.Routes), ".list": pool.List()} {
 			if err := os.WriteFile(filepath.Join(c.Out, pool.Name+end), []byte(text), 0o644); err != nil {
 				return fmt.Errorf("write what is imported: %w", err)
 			}
--- a/cmd/gingerfork/main_test.go
+++ b/cmd/gingerfork/main_test.go
@@ -172,10 +172,13 @@
 	return p.log.Write(b)
 }
 
-func (p *child) said(what string) bool {
+func (p *child) said(what string) bool { return p.times(what) > 0 }
+
+// times counts how often it was said.
+func (p *child) times(what string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return strings.Contains(p.log.String(), what)
+	return strings.Count(p.log.String(), what)
 }
 
 func process(t *testing.T, args ...string) *child {
--- a/cmd/gingerfork/serve.go
+++ b/cmd/gingerfork/serve.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"gingerfork/choice"
@@ -16,7 +18,7 @@
 )
 
 type serveCmd struct {
-	File string `arg:"" help:"The settings."`
+	Files []string `arg:"" help:"The settings, a file for each pool; each has a coordinator of its own in this process, which shares nothing with the others."`
 }
 
 // coordinatorOf is what a coordinator is started with, from its settings.
@@ -30,63 +32,140 @@
 		ProbeTimeout: t.Num("probe-timeout"), MostStreams: int(t.Num("streams")), MostProbes: int(t.Num("probes-at-once"))}
 }
 
+// Run serves all files, or none: one that can't be served at the start ends the others. Later a coordinator that fails
+// takes only itself out; the process ends, with its error, once none is left.
 func (c serveCmd) Run(p *program, ctx context.Context) error {
-	t, err := bootstrap.Read(c.File)
+	trades, err := c.read()
 	if err != nil {
 		return badError{err}
 	}
+	var all []*served
+	defer func() {
+		for _, s := range all {
+			s.end()
+		}
+	}()
+	for i, t := range trades {
+		s, err := start(ctx, p, c.Files[i], t)
+		if err != nil {
+			return err
+		}
+		all = append(all, s)
+	}
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
+	ended := make(chan error)
+	for _, s := range all {
+		go func() { ended <- s.wait() }()
+	}
+	for left := len(all); left > 0; {
+		select {
+		case <-again:
+			for _, s := range all {
+				s.look()
+			}
+		case e := <-ended:
+			left--
+			err = errors.Join(err, e)
+		}
+	}
+	return err
+}
+
+// read reads all files. Two instances must not share what each would write over.
+func (c serveCmd) read() (all []*bootstrap.Trade, err error) {
+	by := map[string]string{}
+	for _, f := range c.Files {
+		t, bad := bootstrap.Read(f)
+		if bad != nil {
+			err = errors.Join(err, bad)
+			continue
+		}
+		for what, v := range map[string]string{"name": t.Name, "listen": t.Text("listen"), "state": t.Text("state")} {
+			key := what + " " + v
+			if first, taken := by[key]; taken && v != "" && !(what == "listen" && strings.HasSuffix(v, ":0")) {
+				err = errors.Join(err, fmt.Errorf("%s: its %s %s is that of %s", f, what, v, first))
+			}
+			by[key] = f
+		}
+		all = append(all, t)
+	}
+	return all, err
+}
+
+// served is one coordinator of the process.
+type served struct {
+	file   string
+	trade  *bootstrap.Trade
+	clock  *loop.Clock
+	source *source
+	m      *coordinator.Machine
+	loop   *loop.Loop
+	log    *slog.Logger
+}
+
+func start(ctx context.Context, p *program, file string, t *bootstrap.Trade) (*served, error) {
 	log := p.logger().With("instance", t.Name)
 	dir := t.Text("state")
 	var kept []byte
+	var err error
 	if dir != "" {
-		if err := os.MkdirAll(dir, 0o755); err != nil {
-			return fmt.Errorf("make the state folder: %w", err)
+		if err = os.MkdirAll(dir, 0o755); err != nil {
+			return nil, fmt.Errorf("make the state folder: %w", err)
 		}
 		if kept, err = os.ReadFile(filepath.Join(dir, coordinator.KeptList)); err != nil && !errors.Is(err, os.ErrNotExist) {
-			return fmt.Errorf("read the kept list: %w", err)
+			return nil, fmt.Errorf("read the kept list: %w", err)
 		}
 	}
-	clock := loop.NewClock()
-	source, err := follows(ctx, t, dir, clock, log)
-	if err != nil {
-		return err
+	s := &served{file: file, trade: t, clock: loop.NewClock(), log: log}
+	if s.source, err = follows(ctx, t, dir, s.clock, log); err != nil {
+		return nil, err
+	}
+	s.m = coordinator.NewMachine(coordinatorOf(t, t.Coordinator(s.clock.Now())), kept)
+	if s.loop, err = loop.Start(ctx, loop.Bootstrap{Machine: s.m, Listen: []string{t.Text("listen")}, Dir: dir, MostOut: int(t.Num("reader-buffer")),
+		Log: log, Clock: s.clock}); err != nil {
+		s.source.end()
+		return nil, err
+	}
+	log.Info("coordinator started", "listen", s.loop.Addrs()[0], "list-service", t.Text("list-service"), "kept", kept != nil)
+	return s, nil
+}
+
+// look reads the settings and the file of servers again. Bad ones change nothing.
+func (s *served) look() {
+	fresh, err := bootstrap.Read(s.file)
+	if err == nil && fresh.Name != s.trade.Name {
+		err = fmt.Errorf("%s: the instance is %s here, its name takes a restart", s.file, s.trade.Name)
 	}
-	defer source.end()
-	m := coordinator.NewMachine(coordinatorOf(t, t.Coordinator(clock.Now())), kept)
-	l, err := loop.Start(ctx, loop.Bootstrap{Machine: m, Listen: []string{t.Text("listen")}, Dir: dir, MostOut: int(t.Num("reader-buffer")),
-		Log: log, Clock: clock})
 	if err != nil {
-		return err
+		s.log.Error("the settings were read again and are bad; the old stay in force", "cause", err)
+		s.source.look()
+		return
 	}
-	log.Info("coordinator started", "listen", l.Addrs()[0], "list-service", t.Text("list-service"), "kept", kept != nil)
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
-	defer signal.Stop(again)
-	for {
-		select {
-		case <-again:
-			fresh, err := bootstrap.Read(c.File)
-			if err != nil {
-				log.Error("the settings were read again and are bad; the old stay in force", "cause", err)
-				source.look()
-				continue
-			}
-			source.look()
-			for _, k := range []string{"listen", "list-service", "state", "list-from", "list-pool", "list-drain", "list-most-lost"} {
-				if fresh.Text(k) != t.Text(k) {
-					log.Warn("this keyword takes a restart; the old value stays in force", "keyword", k)
-				}
-			}
-			l.Between(func() { m.Renew(coordinatorOf(fresh, fresh.Coordinator(clock.Now()))) })
-			log.Info("the settings were read again and are in force")
-		case <-l.Done():
-			err := l.Wait()
-			f, lf := m.Figures(), l.Figures()
-			log.Info("coordinator ended", "joins", f.Joins, "messages", f.Messages, "lines", f.Lines, "steps", lf.Steps, "longest", lf.Longest)
-			if errors.Is(err, loop.ErrFailed) {
-				return badError{err}
-			}
-			return err
+	s.source.look()
+	for _, k := range []string{"listen", "list-service", "state", "list-from", "list-pool", "list-drain", "list-most-lost"} {
+		if fresh.Text(k) != s.trade.Text(k) {
+			s.log.Warn("this keyword takes a restart; the old value stays in force", "keyword", k)
 		}
 	}
+	s.loop.Between(func() { s.m.Renew(coordinatorOf(fresh, fresh.Coordinator(s.clock.Now()))) })
+	s.log.Info("the settings were read again and are in force")
+}
+
+func (s *served) wait() error {
+	err := s.loop.Wait()
+	f, lf := s.m.Figures(), s.loop.Figures()
+	s.log.Info("coordinator ended", "joins", f.Joins, "messages", f.Messages, "lines", f.Lines, "steps", lf.Steps, "longest", lf.Longest)
+	if errors.Is(err, loop.ErrFailed) {
+		return badError{err}
+	}
+	return err
+}
+
+// end stops what still runs; the context's end does the same.
+func (s *served) end() {
+	s.loop.Stop()
+	_ = s.loop.Wait()
+	s.source.end()
 }
--- a/internal/bootstrap/keywords.go
+++ b/internal/bootstrap/keywords.go
@@ -99,6 +99,7 @@
 	{"channel", "probes", flag, nil, 0, 0, "on", "probes", "Whether servers may be probed.", "probes on"},
 
 	{"method", "effect", word, []string{"idempotent", "tokened", "non-idempotent"}, 0, 0, need, "effect", "What a second run of the RPC does.", "effect tokened"},
+	{"method", "tries", word, []string{"free", "proven", "once"}, 0, 0, "free", "most_tries", "What its RPCs may be tried again for. free: what their effect permits. proven: only after proof that they never ran. once: nothing.", "tries proven"},
 	{"method", "group", word, []string{"all", "zone", "cell"}, 0, 0, "all", "group", "For tokened RPCs, which servers drop each other's repeats.", "group all"},
 	{"method", "window", duration, nil, 0, 3600, "5s", "window", "For tokened RPCs, for how long repeats are dropped.", "window 5s"},
 	{"method", "criticality", number, nil, 0, 1e6, need, "criticality", "What an answer within the soft deadline counts.", "criticality 2"},
--- a/internal/haproxy/import.go
+++ b/internal/haproxy/import.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"gingerfork/internal/route"
 )
 
 // Source is a file's text under its name.
@@ -14,7 +16,7 @@
 type Import struct {
 	Files  []File
 	Pools  []Pool // in the files' order
-	Routes []Route
+	Routes []route.Route
 	Notes  []Note // in the files' order
 	Faults []Fault
 }
@@ -63,6 +65,7 @@
 		m.take(s)
 	}
 	m.tracks()
+	m.narrow()
 	order := map[string]int{}
 	for i, f := range m.Files {
 		order[f.Name] = i
@@ -199,7 +202,7 @@
 	case "defaults", "frontend":
 		acls := map[string]bool{}
 		if s.kind == "frontend" {
-			var all []Route
+			var all []route.Route
 			all, s.inexact = m.routes(s)
 			m.Routes = append(m.Routes, all...)
 		}
@@ -214,7 +217,7 @@
 }
 
 func (m *importer) pool(s *section) {
-	p := &Pool{Place: s.Place, Name: s.name, Mode: "tcp", Pick: "lottery", Retries: 3}
+	p := &Pool{at: len(m.Pools), Place: s.Place, Name: s.name, Mode: "tcp", Pick: "lottery", Retries: 3}
 	acls := map[string]bool{}
 	if s.defaults != nil { // what they say holds here; it was noted where it stands
 		quiet := &importer{named: m.named, pools: m.pools}
@@ -223,7 +226,7 @@
 		}
 	}
 	if s.kind == "listen" {
-		var all []Route
+		var all []route.Route
 		all, s.inexact = m.routes(s)
 		m.Routes = append(m.Routes, all...)
 	}
@@ -296,7 +299,16 @@
 		} else if p != nil {
 			p.Retries = n
 		}
-		m.note(l, Differs, "the module orders tries: again after proof that an RPC never ran, others only where a second run does no harm")
+		switch {
+		case err == nil && n == 0:
+			m.note(l, Carried, "tries once")
+		case n == 1:
+			m.note(l, Differs, "one more, after proof that an RPC never ran, at another server; none in a jam, where tries feed it")
+		default:
+			m.note(l, Differs, "one more at most, after proof that an RPC never ran, at another server; none in a jam, where tries feed it")
+		}
+	case "retry-on":
+		m.retryOn(p, l)
 	case "option":
 		switch arg {
 		case "redispatch":
@@ -338,7 +350,7 @@
 		}
 	case "use-server":
 		m.conditions(l, acls)
-		m.note(l, Dropped, "matches are not carried yet")
+		m.note(l, Dropped, "a table is a pool's: an RPC bound to one of its servers would have none when that one is gone")
 	case "bind":
 		m.note(l, Dropped, "our proxies' own listeners")
 	case "maxconn", "fullconn", "rate-limit":
@@ -620,3 +632,52 @@
 		i += 1 + n
 	}
 }
+
+// retryOn takes the causes of further tries. Without the line HAProxy has conn-failure. Whatever else it names, an RPC that
+// may have run is not tried again: whether a second run does harm stands in no file of HAProxy's.
+func (m *importer) retryOn(p *Pool, l Line) {
+	if len(l.Tokens) < 2 {
+		m.fault(l.Place, "retry-on without a cause")
+	}
+	m.note(words(l, 0, 1), Carried, "")
+	once := true
+	for i := 1; i < len(l.Tokens); i++ {
+		class, why := Dropped, "after this an RPC may have run: none is run twice unless its method is marked tokened"
+		switch w := l.Word(i); {
+		case w == "none" && len(l.Tokens) == 2:
+			class, why = Carried, "tries once"
+		case w == "none":
+			m.fault(l.Place, "retry-on none beside other causes")
+		case w == "conn-failure":
+			class, why, once = Carried, "proof that it never ran", false
+		case w == "all-retryable-errors":
+			class, why, once = Differs, "after conn-failure only; after the others an RPC may have run", false
+		case w == "503" || w == "429":
+			class, why, once = Differs, "a push back is proof that an RPC never ran", false
+		case slices.Contains([]string{"empty-response", "junk-response", "response-timeout", "0rtt-rejected", "401", "403", "404", "408", "421", "425", "500", "501", "502", "504"}, w):
+		default:
+			m.fault(l.Place, "retry-on %s is no cause", w)
+			why = "no such cause"
+		}
+		m.note(words(l, i, i+1), class, "%s", why)
+	}
+	if p != nil {
+		p.once = once
+	}
+}
+
+// mostMethods is how many methods a pool's settings may have.
+const mostMethods = 64
+
+// narrow makes one method of all that comes to a pool by more routes than it may have methods.
+func (m *importer) narrow() {
+	for _, p := range m.Pools {
+		if names, _ := route.Methods(m.Routes, p.Name); len(names) > mostMethods {
+			for i := range m.Routes {
+				if m.Routes[i].To == p.Name {
+					m.Routes[i].As = allMethod
+				}
+			}
+		}
+	}
+}
--- a/internal/haproxy/import_test.go
+++ b/internal/haproxy/import_test.go
@@ -117,7 +117,7 @@
 				if listed(p) != list || p.Pick != pick {
 					t.Errorf("%s, pool %s: %s, %s; %s, %s wanted", file.Name(), name, p.Pick, listed(p), pick, list)
 				}
-				lines, faults := bootstrap.Lex("out.conf", p.Settings())
+				lines, faults := bootstrap.Lex("out.conf", p.Settings(got.Routes))
 				if _, more := bootstrap.Parse("out.conf", lines); len(faults)+len(more) > 0 {
 					t.Errorf("%s, pool %s: its settings are at fault: %v %v", file.Name(), name, faults, more)
 				}
@@ -253,7 +253,7 @@
 			for s, y := range x.Servers {
 				fmt.Fprintf(&got, "%d/%d=%d ", p, s, y.Weight)
 			}
-			if x.List() != two.Pools[p].List() || x.Settings() != two.Pools[p].Settings() {
+			if x.List() != two.Pools[p].List() || x.Settings(one.Routes) != two.Pools[p].Settings(two.Routes) {
 				rt.Fatal("the same text was written otherwise")
 			}
 		}
--- a/internal/haproxy/keywords.go
+++ b/internal/haproxy/keywords.go
@@ -56,7 +56,7 @@
 	"cookie": sticky, "appsession": sticky, "persist": sticky, "force-persist": sticky, "ignore-persist": sticky, "stick": sticky, "stats": "our own status takes its place",
 	"enabled": "it changes nothing here", "disabled": "a proxy that is disabled: leave it out of the import", "backlog": tcp, "bind-process": tcp, "source": tcp, "transparent": tcp, "grace": "our drains have their own grace",
 	"hash-balance-factor": "our arcs bound what a server takes by themselves", "load-server-state-from-file": "what is drained is kept by the coordinator", "server-state-file-name": "what is drained is kept by the coordinator",
-	"email-alert": "no mail is sent", "retry-on": "the module orders tries: after proof, or where a second run does no harm", "max-keep-alive-queue": reuse, "clitcpka-cnt": tcp, "clitcpka-idle": tcp,
+	"email-alert": "no mail is sent", "max-keep-alive-queue": reuse, "clitcpka-cnt": tcp, "clitcpka-idle": tcp,
 	"clitcpka-intvl": tcp, "srvtcpka-cnt": tcp, "srvtcpka-idle": tcp, "srvtcpka-intvl": tcp, "max-session-srv-conns": reuse, "use-fcgi-app": http, "guid": "for display only",
-	"crt": tls, "ssl-f-use": tls, "force-be-switch": "matches are not carried yet",
+	"crt": tls, "ssl-f-use": tls, "force-be-switch": "a pool that is disabled gets nothing",
 }
--- a/internal/haproxy/model.go
+++ b/internal/haproxy/model.go
@@ -42,6 +42,8 @@
 	Servers  []Server
 	Deadline float64 // seconds that a server has to answer; 0: not said
 	Retries  int
+	at       int  // its place among the pools
+	once     bool // retry-on has no cause that proves an RPC never ran
 	all      bool // option allbackups
 	lacks    bool // a server of it is at fault, so what it lacks by that is not said again
 }
--- a/internal/haproxy/page.go
+++ b/internal/haproxy/page.go
@@ -40,10 +40,11 @@
 | hash-type | with a difference | a ring of hashed servers for each proxy; keys are not hashed |
 | timeout server | with a difference | a deadline, never a soft deadline |
 | timeout, others | not carried | our proxies' own |
-| retries | with a difference | the module orders tries, never for what may not run twice |
+| retries | 0: carried; else with a difference | tries once; else one more after proof that an RPC never ran, at another server |
+| retry-on | by its causes | none and conn-failure: carried; 429, 503, all-retryable-errors: with a difference (after proof only); others not: the RPC may have run |
 | mode | with a difference | our proxies know RPCs of methods |
-| acl, use_backend, default_backend | carried where exact | routes on path, method and single-valued headers (whole, beginning, end, part, found; -i); from the first use_backend that is not exact on none of its frontend is, as order counts; a backend or ACL that does not exist is refused |
-| use-server | not carried | its ACLs are checked |
+| acl, use_backend, default_backend | carried where exact | routes to pools and their methods on path, method and single-valued headers (whole, beginning, end, part, found; -i); from the first use_backend that is not exact on none of its frontend is, as order counts; a backend or ACL that does not exist is refused |
+| use-server | not carried | a table is a pool's, none is bound to one server; its ACLs are checked |
 | stick-table | not carried | nothing is bound to a server; its size and times are checked |
 | bind | not carried | our proxies' own listeners |
 | maxconn, fullconn, rate-limit | not carried | levels are shares of a method's RPCs, not counts of connections |
--- a/internal/haproxy/proof_test.go
+++ b/internal/haproxy/proof_test.go
@@ -15,12 +15,12 @@
 	"gingerfork/internal/virtual"
 )
 
-// route serves an imported pool for some seconds in virtual time: a coordinator with the imported settings, a list service
+// served serves an imported pool for some seconds in virtual time: a coordinator with the imported settings, a list service
 // with the imported list, emulated servers, twelve proxies. Words are told to the list service at half time. It gives the
 // first tries by server's name, before and after.
-func route(t *testing.T, p Pool, seconds float64, words ...string) (before, after map[string]int) {
+func served(t *testing.T, p Pool, seconds float64, words ...string) (before, after map[string]int) {
 	t.Helper()
-	lines, faults := bootstrap.Lex("out.conf", p.Settings())
+	lines, faults := bootstrap.Lex("out.conf", p.Settings(nil))
 	trade, more := bootstrap.Parse("out.conf", lines)
 	if len(faults)+len(more) > 0 {
 		t.Fatal(faults, more)
@@ -135,15 +135,15 @@
 	p := got.Pools[0]
 	numbers := p.Numbers()
 	weights := map[string]int{"s1": 1, "s2": 16, "s3": 100, "s4": 256, "s5": 31}
-	before, after := route(t, p, 23, fmt.Sprintf("state %d draining", numbers["s4"]))
+	before, after := served(t, p, 23, fmt.Sprintf("state %d draining", numbers["s4"]))
 	check("weights from 1 to 256", before, weights)
 	delete(weights, "s4")
 	check("after the heaviest began to drain", after, weights)
 
 	got = read("backend b\noption allbackups\nserver a h:1 disabled\nserver b h:2 backup weight 10\nserver c h:3 backup weight 30\n")
-	before, _ = route(t, got.Pools[0], 23)
+	before, _ = served(t, got.Pools[0], 23)
 	check("backups alone", before, map[string]int{"b": 10, "c": 30})
-	before, after = route(t, got.Pools[0], 23, fmt.Sprintf("weight %d 10", got.Pools[0].Numbers()["c"]))
+	before, after = served(t, got.Pools[0], 23, fmt.Sprintf("weight %d 10", got.Pools[0].Numbers()["c"]))
 	check("before a weight changes", before, map[string]int{"b": 10, "c": 30})
 	check("after it did", after, map[string]int{"b": 10, "c": 10})
 }
--- a/internal/haproxy/routes.go
+++ b/internal/haproxy/routes.go
@@ -4,77 +4,13 @@
 	"fmt"
 	"slices"
 	"strings"
-)
-
-// Request is what a route looks at.
-type Request struct {
-	Method, Path string
-	Headers      map[string][]string // names in lower case
-}
-
-// Term looks at one thing of a request.
-type Term struct {
-	Not      bool
-	Fetch    string // path, method or hdr
-	Header   string // in lower case, for hdr
-	How      string // str, beg, end, sub or found
-	Fold     bool   // regardless of case
-	Patterns []string
-}
-
-// Route sends requests of a frontend to a pool, if any of its rows of terms holds (or none does, by unless). Without
-// rows it holds always. Routes are looked at in their order.
-type Route struct {
-	Place
-	From, To string
-	Unless   bool
-	Any      [][]Term
-}
-
-// Holds tells whether a request is the route's.
-func (r Route) Holds(q Request) bool {
-	if len(r.Any) == 0 {
-		return true
-	}
-	any := slices.ContainsFunc(r.Any, func(row []Term) bool {
-		return !slices.ContainsFunc(row, func(t Term) bool { return !t.holds(q) })
-	})
-	return any != r.Unless
-}
+	"unicode"
 
-func (t Term) holds(q Request) bool {
-	var values []string
-	switch t.Fetch {
-	case "path":
-		values = []string{q.Path}
-	case "method":
-		values = []string{q.Method}
-	default:
-		values = q.Headers[t.Header]
-	}
-	hit := t.How == "found" && len(values) > 0
-	for _, v := range values {
-		for _, p := range t.Patterns {
-			if t.Fold {
-				v, p = strings.ToLower(v), strings.ToLower(p)
-			}
-			switch t.How {
-			case "str":
-				hit = hit || v == p
-			case "beg":
-				hit = hit || strings.HasPrefix(v, p)
-			case "end":
-				hit = hit || strings.HasSuffix(v, p)
-			case "sub":
-				hit = hit || strings.Contains(v, p)
-			}
-		}
-	}
-	return hit != t.Not
-}
+	"gingerfork/internal/route"
+)
 
 // criterion reads what an ACL looks at: a fetch with its flags and patterns. Only what can be said exactly is taken.
-func criterion(words []string) (t Term, err error) {
+func criterion(words []string) (t route.Term, err error) {
 	if len(words) == 0 {
 		return t, fmt.Errorf("it looks at nothing")
 	}
@@ -126,6 +62,9 @@
 	if t.Fetch == "method" && t.How != "str" {
 		return t, fmt.Errorf("methods are matched whole")
 	}
+	if slices.ContainsFunc(t.Patterns, func(p string) bool { return strings.ContainsFunc(p, unicode.IsControl) }) {
+		return t, fmt.Errorf("a pattern has a control character")
+	}
 	// hdr looks at each part of a header that commas divide, which we do not: whether it is there is the same for all, the
 	// rest only for names that hold one value.
 	if t.Fetch == "hdr" && t.How != "found" && !slices.Contains(single, t.Header) {
@@ -143,10 +82,10 @@
 
 // rows reads a condition as rows of terms. An ACL of several lines holds if any of them does, which multiplies rows; past
 // a hundred it is not taken.
-func rows(cond []string, acls map[string][]Term, bad map[string]error) (all [][]Term, err error) {
-	all = [][]Term{}
-	row := [][]Term{{}} // what the present row may be
-	and := func(choices []Term, not bool) error {
+func rows(cond []string, acls map[string][]route.Term, bad map[string]error) (all [][]route.Term, err error) {
+	all = [][]route.Term{}
+	row := [][]route.Term{{}} // what the present row may be
+	and := func(choices []route.Term, not bool) error {
 		if not {
 			for i := range row {
 				for _, c := range choices { // none of them
@@ -156,7 +95,7 @@
 			}
 			return nil
 		}
-		var wider [][]Term
+		var wider [][]route.Term
 		for _, r := range row {
 			for _, c := range choices {
 				wider = append(wider, append(slices.Clone(r), c))
@@ -177,10 +116,10 @@
 				word = cond[i]
 			}
 		}
-		var choices []Term
+		var choices []route.Term
 		switch {
 		case word == "or" || word == "||":
-			all, row = append(all, row...), [][]Term{{}}
+			all, row = append(all, row...), [][]route.Term{{}}
 			continue
 		case word == "{":
 			end := slices.Index(cond[i:], "}")
@@ -191,17 +130,17 @@
 			if err != nil {
 				return nil, err
 			}
-			choices = []Term{t}
+			choices = []route.Term{t}
 			i += end
 		case acls[word] != nil && bad[word] == nil:
 			choices = acls[word]
 		case bad[word] != nil:
 			return nil, fmt.Errorf("ACL %s: %w", word, bad[word])
 		case methodACL[word] != nil:
-			choices = []Term{{Fetch: "method", How: "str", Patterns: methodACL[word]}}
+			choices = []route.Term{{Fetch: "method", How: "str", Patterns: methodACL[word]}}
 		case word == "TRUE" || word == "FALSE":
 			// A header that none has: never found.
-			choices = []Term{{Fetch: "hdr", Header: "", How: "found", Not: word == "TRUE"}}
+			choices = []route.Term{{Fetch: "hdr", Header: "", How: "found", Not: word == "TRUE"}}
 		default:
 			return nil, fmt.Errorf("ACL %s has no like here", word)
 		}
@@ -209,7 +148,10 @@
 			return nil, err
 		}
 	}
-	if all = append(all, row...); len(all) > 100 {
+	if all = append(all, row...); slices.ContainsFunc(all, func(r []route.Term) bool { return len(r) == 0 }) {
+		return nil, fmt.Errorf("a part of its condition is empty")
+	}
+	if len(all) > 100 {
 		return nil, fmt.Errorf("it would take more than 100 rows")
 	}
 	return all, nil
@@ -217,10 +159,11 @@
 
 // routes reads a frontend's routes in their order. From the first that can't be said exactly on none is: it stands before
 // the others, so they would hold where it does.
-func (m *importer) routes(s *section) (all []Route, of map[int]string) {
-	acls, bad, of := map[string][]Term{}, map[string]error{}, map[int]string{}
-	last := ""
-	var deflt *Route
+func (m *importer) routes(s *section) (all []route.Route, of map[int]string) {
+	acls, bad, of := map[string][]route.Term{}, map[string]error{}, map[int]string{}
+	always := 0 // the line of a route without a condition: what stands behind it is never reached
+	last, used := "", map[string]bool{s.name: true}
+	var deflt *route.Route
 	for i, l := range s.lines {
 		w := l.Words()
 		switch w[0] {
@@ -236,12 +179,17 @@
 			}
 			acls[w[1]] = append(acls[w[1]], t)
 		case "use_backend":
+			if last == "" && always > 0 {
+				of[i] = fmt.Sprintf("it is never reached, for line %d takes all", always)
+				continue
+			}
 			if last != "" {
 				of[i] = last
 				continue
 			}
-			r := Route{Place: l.Place, From: s.name, To: l.Word(1)}
+			r := route.Route{From: s.name, To: l.Word(1), As: s.name}
 			if len(w) > 2 {
+				r.As = methodName(s.name, w[3:], used)
 				r.Unless = w[2] == "unless"
 				var err error
 				if w[2] != "if" && w[2] != "unless" {
@@ -258,57 +206,52 @@
 					continue
 				}
 			}
-			all = append(all, r)
+			if all = append(all, r); len(r.Any) == 0 {
+				always = l.Line
+			}
 		case "default_backend":
-			deflt = &Route{Place: l.Place, From: s.name, To: l.Word(1)}
+			deflt = &route.Route{From: s.name, To: l.Word(1), As: s.name}
 			if last != "" {
 				of[i] = last
 			}
 		}
 	}
+	if deflt == nil && s.kind == "listen" && len(all) > 0 { // what none takes goes to its own servers
+		deflt = &route.Route{From: s.name, To: s.name, As: s.name}
+	}
+	if always > 0 {
+		return all, of
+	}
 	if deflt != nil && last == "" {
 		all = append(all, *deflt)
 	}
 	return all, of
 }
 
-// Pick is the pool that routes send a request to, "" if none does.
-func Pick(routes []Route, from string, q Request) string {
-	for _, r := range routes {
-		if r.From == from && r.Holds(q) {
-			return r.To
-		}
-	}
-	return ""
-}
-
-// String is the route's line in a file of routes.
-func (r Route) String() string {
+// methodName names the method that a route's requests are: the front and what its condition says, so that it stays when
+// other routes come and go. What a front sends on without a condition is named as the front.
+func methodName(front string, cond []string, used map[string]bool) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "route %s to %s", r.From, r.To)
-	for i, row := range r.Any {
-		switch {
-		case i > 0:
-			b.WriteString(" or")
-		case r.Unless:
-			b.WriteString(" unless")
-		default:
-			b.WriteString(" when")
-		}
-		for _, t := range row {
-			if t.Not {
-				b.WriteString(" not")
+	b.WriteString(front)
+	gap := true
+	for _, c := range strings.Join(cond, " ") {
+		if c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '_' {
+			if gap {
+				b.WriteByte('-')
 			}
-			b.WriteString(" " + t.Fetch)
-			if t.Fetch == "hdr" {
-				b.WriteString("(" + t.Header + ")")
-			}
-			b.WriteString(" " + t.How)
-			if t.Fold {
-				b.WriteString(" any-case")
-			}
-			fmt.Fprintf(&b, " %q", t.Patterns)
+			b.WriteRune(c)
+			gap = false
+		} else {
+			gap = true
 		}
+		if b.Len() > 50 {
+			break
+		}
+	}
+	name := b.String()
+	for n := 2; used[name]; n++ {
+		name = fmt.Sprintf("%s-%d", b.String(), n)
 	}
-	return b.String()
+	used[name] = true
+	return name
 }
--- a/internal/haproxy/routes_test.go
+++ b/internal/haproxy/routes_test.go
@@ -5,7 +5,11 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/route"
 )
 
 const routed = `frontend www
@@ -40,6 +44,7 @@
 			t.Errorf("not carried: %s: %s", n.Text(), n.Why)
 		}
 	}
+	table := route.NewTable(got.Routes)
 	host := func(h string, more ...string) map[string][]string {
 		m := map[string][]string{"host": {h}}
 		for _, x := range more {
@@ -48,23 +53,23 @@
 		return m
 	}
 	for _, c := range []struct {
-		q    Request
+		q    route.Request
 		want string
 	}{
-		{Request{"GET", "/", host("www.example")}, "tasks"},
-		{Request{"GET", "/a.PNG", host("www.example")}, "static"},
-		{Request{"HEAD", "/a.jpg", nil}, "static"},
-		{Request{"POST", "/a.jpg", nil}, "writes"},
-		{Request{"PUT", "/favicon.ico", nil}, "static"},
-		{Request{"PUT", "/x", nil}, "writes"},
-		{Request{"DELETE", "/x.jpg", nil}, "tasks"},
-		{Request{"GET", "/admin/a.png", host("www.example")}, "deny"},
-		{Request{"GET", "/admin/a.png", host("www.example", "x-staff")}, "admin"},
-		{Request{"GET", "/", host("ADMIN.example")}, "deny"},
-		{Request{"GET", "/Admin", host("www.example")}, "tasks"},
+		{route.Request{Method: "GET", Path: "/", Headers: host("www.example")}, "tasks"},
+		{route.Request{Method: "GET", Path: "/a.PNG", Headers: host("www.example")}, "static"},
+		{route.Request{Method: "HEAD", Path: "/a.jpg", Headers: nil}, "static"},
+		{route.Request{Method: "POST", Path: "/a.jpg", Headers: nil}, "writes"},
+		{route.Request{Method: "PUT", Path: "/favicon.ico", Headers: nil}, "static"},
+		{route.Request{Method: "PUT", Path: "/x", Headers: nil}, "writes"},
+		{route.Request{Method: "DELETE", Path: "/x.jpg", Headers: nil}, "tasks"},
+		{route.Request{Method: "GET", Path: "/admin/a.png", Headers: host("www.example")}, "deny"},
+		{route.Request{Method: "GET", Path: "/admin/a.png", Headers: host("www.example", "x-staff")}, "admin"},
+		{route.Request{Method: "GET", Path: "/", Headers: host("ADMIN.example")}, "deny"},
+		{route.Request{Method: "GET", Path: "/Admin", Headers: host("www.example")}, "tasks"},
 	} {
-		if to := Pick(got.Routes, "www", c.q); to != c.want {
-			t.Errorf("%v goes to %q, %q wanted", c.q, to, c.want)
+		if r, _ := table.Pick("www", c.q); r.To != c.want {
+			t.Errorf("%v goes to %q, %q wanted", c.q, r.To, c.want)
 		}
 	}
 }
@@ -127,7 +132,7 @@
 		if len(got.Routes) != 1 || len(got.Faults) > 0 {
 			rt.Fatalf("%s: %+v", text.String(), got)
 		}
-		q := Request{Path: "/" + rapid.StringMatching("[xyz]{0,3}").Draw(rt, "asked")}
+		q := route.Request{Path: "/" + rapid.StringMatching("[xyz]{0,3}").Draw(rt, "asked")}
 		want := false
 		for _, row := range cond {
 			all := true
@@ -145,3 +150,68 @@
 		}
 	})
 }
+
+// A pool has the methods that its routes name, and tries as its retries say. Routes that are written are read as they are.
+func TestRoutesBecomeMethods(t *testing.T) {
+	got := read(`defaults
+    retries 0
+frontend www
+    acl adm path_beg /admin
+    use_backend web if METH_GET !adm
+    use_backend web if adm
+    use_backend web if adm
+    use_backend other
+    default_backend web
+backend web
+    server a h:1
+backend other
+    retries 2
+    retry-on conn-failure response-timeout
+    server a h:1
+listen both
+    retry-on empty-response
+    use_backend web if { path "/a b" '/"=' }
+    server a h:1
+`)
+	if len(got.Faults) > 0 || len(got.Routes) != 6 {
+		t.Fatal(got.Faults, got.Routes)
+	}
+	var file strings.Builder
+	for _, r := range got.Routes {
+		fmt.Fprintln(&file, r)
+	}
+	again, faults := route.Read("routes", file.String())
+	if diff := cmp.Diff(got.Routes, again); diff != "" || len(faults) > 0 {
+		t.Error(faults, diff)
+	}
+	for i, want := range []string{"www-METH_GET-adm idempotent once; www-adm non-idempotent once; www-adm-2 non-idempotent once; both-path-a-b non-idempotent once",
+		"www non-idempotent free", "both non-idempotent once"} {
+		lines, faults := bootstrap.Lex("x", got.Pools[i].Settings(got.Routes))
+		trade, more := bootstrap.Parse("x", lines)
+		if len(faults)+len(more) > 0 {
+			t.Fatal(faults, more)
+		}
+		b := trade.Coordinator(0)
+		var all []string
+		for m, name := range trade.Methods {
+			at := fmt.Sprintf("method.%d.", m)
+			all = append(all, name+" "+b.Word(at+"effect")+" "+b.Word(at+"most_tries"))
+		}
+		if strings.Join(all, "; ") != want {
+			t.Errorf("%s, %s wanted", strings.Join(all, "; "), want)
+		}
+	}
+}
+
+// More routes to a pool than it may have methods make one method of them.
+func TestTooManyRoutesForMethods(t *testing.T) {
+	var text strings.Builder
+	text.WriteString("frontend f\n")
+	for i := range 70 {
+		fmt.Fprintf(&text, "use_backend p if { path /%d }\n", i)
+	}
+	got := read(text.String() + "backend p\nserver a h:1\n")
+	if names, _ := route.Methods(got.Routes, "p"); len(got.Routes) != 70 || len(names) != 1 || !strings.Contains(got.Pools[0].Settings(got.Routes), "method all\n") {
+		t.Error(names, got.Faults)
+	}
+}
--- a/internal/haproxy/write.go
+++ b/internal/haproxy/write.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/route"
 )
 
 // Numbers gives each listed server of a pool its number on our list: by its name, so that it keeps the number whatever is
@@ -47,7 +48,10 @@
 
 // Settings writes a pool's settings, which `gingerfork check` passes. What HAProxy's format does not say is marked as such,
 // at a figure that is to be looked at before service.
-func (p Pool) Settings() string {
+//
+// Its methods are what routes make of its requests; without routes they are all one. One whose routes take only what
+// RFC 9110 calls safe is idempotent, of others that can't be known.
+func (p Pool) Settings(routes []route.Route) string {
 	warm, deadline := 10.0, 0.0
 	said := "not in the import: how long your servers warm"
 	for _, s := range p.Servers {
@@ -66,8 +70,8 @@
 	return fmt.Sprintf(`# pool %q, from %q line %d
 instance %s
     zone            imported      # not in the import
-    listen          127.0.0.1:7400 # not in the import
-    list-service    127.0.0.1:7300 # not in the import
+    listen          127.0.0.1:%d # not in the import
+    list-service    127.0.0.1:%d # not in the import
     state           -
 
 fleet
@@ -89,13 +93,37 @@
 channel
     room            10000         # not in the import
     pace            10000         # not in the import
+`, p.Name, p.File, p.Line, bootstrap.Quote(p.Name), 7400+2*p.at%50000, 7401+2*p.at%50000, ms(warm), said, p.Pick) + p.methods(routes, ms(min(1, deadline/2)), ms(deadline), what)
+}
+
+// allMethod is the one method of a pool whose requests routes don't tell apart.
+const allMethod = "all"
 
-method all
-    effect          non-idempotent # not in the import: what a second run does
+func (p Pool) methods(routes []route.Route, soft, deadline, what string) string {
+	names, safe := route.Methods(routes, p.Name)
+	if len(names) == 0 {
+		names = []string{allMethod}
+	}
+	tries, why := "free", "retries, retry-on"
+	if p.Retries == 0 || p.once {
+		tries = "once"
+	}
+	var b strings.Builder
+	for _, name := range names {
+		effect, said := "non-idempotent", "not in the import: what a second run does"
+		if safe[name] {
+			effect, said = "idempotent", "its routes take GET, HEAD, OPTIONS and TRACE alone"
+		}
+		fmt.Fprintf(&b, `
+method %s
+    effect          %s # %s
+    tries           %s          # %s
     criticality     1             # not in the import
     soft-deadline   %s       # not in the import: when an answer is wanted
     deadline        %s       # %s
-`, p.Name, p.File, p.Line, bootstrap.Quote(p.Name), ms(warm), said, p.Pick, ms(min(1, deadline/2)), ms(deadline), what)
+`, bootstrap.Quote(name), effect, said, tries, why, soft, deadline, what)
+	}
+	return b.String()
 }
 
 // Change is what differs for a server between two imports.
