--- a/cmd/gingerfork/main.go
+++ b/cmd/gingerfork/main.go
@@ -33,6 +33,7 @@
 	Load     loadCmd     `cmd:"" help:"Ask for RPCs, open loop, through proxies that follow a coordinator or one fixed table. Example: gingerfork load --settings perth.conf --coordinator 127.0.0.1:7400 --rate 300"`
 	Import   importCmd   `cmd:"" help:"Import another program's configuration. Example: gingerfork import haproxy -o imported web.cfg"`
 	Route    routeCmd    `cmd:"" help:"Tell which pool a request goes to by a file of routes, and as which method. Example: gingerfork route imported/routes www GET /tasks --header host=perth.example"`
+	Store    storeCmd    `cmd:"" help:"Check, dump or compact a coordinator's store."`
 	Standin  standinCmd  `cmd:"" help:"Run one stand-in as a process of its own. Example: gingerfork standin server --listen 127.0.0.1:7501 --ep 1"`
 	Measure  measureCmd  `cmd:"" help:"Take the figures of docs/performance.md on this machine. Example: gingerfork measure drains"`
 	Settings settingsCmd `cmd:"" help:"Print what every keyword of the settings means. Example: gingerfork settings > docs/settings.md"`
