Coordinators keep list, drains, marks and proxies in the store; marks never come twice

A restart knew the list as last saved whole, and gave the same marks again. internal/keep decides what is recorded and what waits for what: withdrawals for nothing, the first marks until their lot is durable, answers to orders that take a server out of use until that order is (half a second at most). The loop writes beside the machine; virtual time runs the same store over a disk that crashes by the sector. The users' proof (log cut at every byte, nobody to ask) found that a withdrawal was told again beside the table that says it.

--- a/cmd/gingerfork/main_test.go
+++ b/cmd/gingerfork/main_test.go
@@ -235,7 +235,10 @@
 	out := filepath.Join(dir, "trace")
 	f := process(t, "standin", "frontend", "--settings", file, "--coordinator", at, "--name", "f0", "--rate", "50", "--trace", out)
 	eventually(t, "the proxy's join in the log", func() bool { return c.said(`"proxy":"f0"`) && c.said(`"instance":"perth-0"`) })
-	eventually(t, "the kept list", func() bool { _, err := os.Stat(filepath.Join(dir, "kept", "list")); return err == nil })
+	eventually(t, "the kept list", func() bool {
+		code, out, _ := call("store", "dump", filepath.Join(dir, "kept", "store"), "--from", "server/")
+		return code == good && strings.Count(out, "\n") == 2
+	})
 
 	put(settings + "nonsense\n")
 	_ = c.cmd.Process.Signal(syscall.SIGHUP)
--- a/cmd/gingerfork/serve.go
+++ b/cmd/gingerfork/serve.go
@@ -14,7 +14,10 @@
 	"gingerfork/choice"
 	"gingerfork/internal/bootstrap"
 	"gingerfork/internal/coordinator"
+	"gingerfork/internal/disk"
+	"gingerfork/internal/keep"
 	"gingerfork/internal/loop"
+	"gingerfork/internal/store"
 )
 
 type serveCmd struct {
@@ -29,7 +32,7 @@
 	}
 	return coordinator.Bootstrap{Name: t.Name, Zone: module.Word("zone"), ListAddr: t.Text("list-service"), Peers: peers, Module: module,
 		Handshake: t.Num("handshake"), Silence: t.Num("stream-silence"), ListSilence: t.Num("list-silence"),
-		ProbeTimeout: t.Num("probe-timeout"), MostStreams: int(t.Num("streams")), MostProbes: int(t.Num("probes-at-once"))}
+		Text: t.Canonical(), ProbeTimeout: t.Num("probe-timeout"), MostStreams: int(t.Num("streams")), MostProbes: int(t.Num("probes-at-once"))}
 }
 
 // Run serves all files, or none: one that can't be served at the start ends the others. Later a coordinator that fails
@@ -100,6 +103,7 @@
 	trade  *bootstrap.Trade
 	clock  *loop.Clock
 	source *source
+	store  *store.Store // nil: nothing is kept
 	m      *coordinator.Machine
 	loop   *loop.Loop
 	log    *slog.Logger
@@ -108,27 +112,23 @@
 func start(ctx context.Context, p *program, file string, t *bootstrap.Trade) (*served, error) {
 	log := p.logger().With("instance", t.Name)
 	dir := t.Text("state")
-	var kept []byte
-	var err error
-	if dir != "" {
-		if err = os.MkdirAll(dir, 0o755); err != nil {
-			return nil, fmt.Errorf("make the state folder: %w", err)
-		}
-		if kept, err = os.ReadFile(filepath.Join(dir, coordinator.KeptList)); err != nil && !errors.Is(err, os.ErrNotExist) {
-			return nil, fmt.Errorf("read the kept list: %w", err)
-		}
-	}
 	s := &served{file: file, trade: t, clock: loop.NewClock(), log: log}
+	kept, err := s.open(dir)
+	if err != nil {
+		return nil, err
+	}
 	if s.source, err = follows(ctx, t, dir, s.clock, log); err != nil {
+		s.shut()
 		return nil, err
 	}
 	s.m = coordinator.NewMachine(coordinatorOf(t, t.Coordinator(s.clock.Now())), kept)
 	if s.loop, err = loop.Start(ctx, loop.Bootstrap{Machine: s.m, Listen: []string{t.Text("listen")}, Dir: dir, MostOut: int(t.Num("reader-buffer")),
-		Log: log, Clock: s.clock}); err != nil {
+		Log: log, Clock: s.clock, Store: s.store}); err != nil {
 		s.source.end()
+		s.shut()
 		return nil, err
 	}
-	log.Info("coordinator started", "listen", s.loop.Addrs()[0], "list-service", t.Text("list-service"), "kept", kept != nil)
+	log.Info("coordinator started", "listen", s.loop.Addrs()[0], "list-service", t.Text("list-service"), "store", dir != "")
 	return s, nil
 }
 
@@ -168,4 +168,41 @@
 	s.loop.Stop()
 	_ = s.loop.Wait()
 	s.source.end()
+	s.shut()
+}
+
+// open opens the store in the state folder, and reads what the last run kept. A store that is damaged ends the start: to
+// go on without it is the operator's word.
+func (s *served) open(dir string) (*keep.Kept, error) {
+	if dir == "" {
+		return nil, nil
+	}
+	folder, err := disk.NewReal(filepath.Join(dir, "store"))
+	if err != nil {
+		return nil, err
+	}
+	st, r, err := store.Open(store.Bootstrap{Folder: folder, Background: true})
+	if err != nil {
+		return nil, badError{fmt.Errorf("%s: %w (gingerfork store check %s)", filepath.Join(dir, "store"), err, filepath.Join(dir, "store"))}
+	}
+	if r.Cut > 0 {
+		s.log.Warn("the store had a torn tail, never acknowledged, and it was cut", "file", r.CutFile, "bytes", r.Cut)
+	}
+	kept, err := keep.Read(st.Scan(""))
+	if err != nil {
+		st.Close()
+		return nil, badError{fmt.Errorf("the store is whole, but makes no sense: %w", err)}
+	}
+	s.store = st
+	s.log.Info("the store was opened", "keys", r.Keys, "batches", r.Frames, "servers", len(kept.Servers), "drains", len(kept.Drains), "marks-from", kept.Marks)
+	return kept, nil
+}
+
+func (s *served) shut() {
+	if s.store == nil {
+		return
+	}
+	if err := s.store.Close(); err != nil && !errors.Is(err, store.ErrClosed) {
+		s.log.Error("the store could not be closed", "cause", err.Error())
+	}
 }
--- a/cmd/gingerfork/store.go
+++ b/cmd/gingerfork/store.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return badError{err}
 	}
+	if got.Fresh {
+		return badError{fmt.Errorf("there is no store in %s", c.Dir)}
+	}
 	for _, f := range got.Files {
 		fmt.Fprintf(p.out, "%-16s %10d bytes %6d frames  %s\n", f.Name, f.Bytes, f.Frames, f.State)
 	}
@@ -85,6 +88,11 @@
 	if err != nil {
 		return badError{err}
 	}
+	if got, err := store.Check(d); err != nil {
+		return badError{err}
+	} else if got.Fresh {
+		return badError{fmt.Errorf("there is no store in %s", c.Dir)}
+	}
 	s, _, err := store.Open(store.Bootstrap{Folder: d})
 	if err != nil {
 		return badError{err}
--- a/internal/bootstrap/read.go
+++ b/internal/bootstrap/read.go
@@ -26,6 +26,21 @@
 // Num gives one of the program's own numbers; times are in seconds.
 func (t *Trade) Num(keyword string) float64 { v, _ := t.own[keyword].(float64); return v }
 
+// Canonical is all that is set, a line for each value in the order of names: the same settings give the same text.
+func (t *Trade) Canonical() string {
+	all := []string{"instance " + t.Name}
+	for _, m := range []map[string]any{t.Values, t.own} {
+		for k, v := range m {
+			all = append(all, fmt.Sprintf("%s %v", k, v))
+		}
+	}
+	for n, addr := range t.Peers {
+		all = append(all, fmt.Sprintf("peer.%d %s", n, addr))
+	}
+	slices.Sort(all)
+	return strings.Join(all, "\n")
+}
+
 // Read reads a settings file and what it includes. All faults are reported; the Trade is nil where there is any.
 func Read(path string) (*Trade, error) {
 	lines, faults := Load(path)
--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -12,11 +12,8 @@
 // fleet is a core with so many servers and joined proxies, all of whose pushes were answered.
 func fleet(b testing.TB, servers, proxies int) (c *Core, now float64, version uint64) {
 	now = 1000
-	c, err := New(choice.Bootstrap{Now: now, Values: values(map[string]any{"proxies": float64(proxies), "channel_room": 1e9, "channel_pace": 1e9,
+	c = New(choice.Bootstrap{Now: now, Values: values(map[string]any{"proxies": float64(proxies), "channel_room": 1e9, "channel_pace": 1e9,
 		"messages": 0.0, "tick": 0.0, "probes": false})}, nil)
-	if err != nil {
-		b.Fatal(err)
-	}
 	l := proto.List{Kind: proto.ListFull, Version: 1}
 	for i := range servers {
 		l.Entries = append(l.Entries, entry(i+1, proto.ServerOpen))
--- a/internal/coordinator/channel.go
+++ b/internal/coordinator/channel.go
@@ -14,8 +14,10 @@
 	ops    []proto.Op
 	marked bool
 	mark   choice.Mark
-	urgent bool // it takes a server out of use
-	done   bool // it left, or its stream did
+	wire   uint64 // the mark as proxies see it
+	needs  uint64 // what must be durable before its answer counts
+	urgent bool   // it takes a server out of use
+	done   bool   // it left, or its stream did
 }
 
 // channel is what waits to be sent. Messages leave one after another at the pace that the settings state, in the order
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
 
 	"gingerfork/choice"
+	"gingerfork/internal/keep"
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
 )
@@ -36,13 +38,15 @@
 	got     map[machine.Conn][]proto.Message
 	closed  map[machine.Conn]bool
 	version uint64
-	saved   []byte
+	records map[string][]byte // what is kept
+	batch   uint64            // that the machine is yet to be told of as durable
+	stuck   bool              // the disk does not answer
 	logs    []string
 }
 
-func newRig(t *testing.T, more map[string]any, kept []byte) *rig {
+func newRig(t *testing.T, more map[string]any, kept *keep.Kept) *rig {
 	r := &rig{t: t, now: 1000, probes: map[machine.Conn]string{}, readers: map[machine.Conn]*proto.Reader{}, got: map[machine.Conn][]proto.Message{},
-		closed: map[machine.Conn]bool{}}
+		closed: map[machine.Conn]bool{}, records: map[string][]byte{}}
 	r.m = NewMachine(Bootstrap{Name: "c0", Zone: "a", ListAddr: "list", Module: choice.Bootstrap{Seed: 1, Now: r.now, Values: values(more)}, Handshake: 5,
 		Silence: 10, ListSilence: 5, ProbeTimeout: 1, MostStreams: 1000, MostProbes: 4}, kept)
 	return r
@@ -53,6 +57,10 @@
 	r.t.Helper()
 	r.now += after
 	r.out.Reset()
+	if r.batch > 0 && !r.stuck {
+		in = append([]machine.Input{{Kind: machine.Kept, N: r.batch}}, in...)
+		r.batch = 0
+	}
 	r.m.Step(r.now, in, &r.out)
 	if r.out.Fail != "" {
 		r.t.Fatal(r.out.Fail)
@@ -60,8 +68,14 @@
 	for _, n := range r.out.Notes {
 		r.logs = append(r.logs, fmt.Sprint(n.Text, n.Pairs))
 	}
-	if data := r.out.Saves[KeptList]; data != nil {
-		r.saved = data
+	for _, p := range r.out.Puts {
+		if r.records[p.Key] = p.Value; p.Value == nil {
+			delete(r.records, p.Key)
+		}
+	}
+	if r.out.Batch > 0 {
+		r.batch = r.out.Batch
+		r.out.At(r.now + 0.001)
 	}
 	for _, a := range r.out.Acts {
 		switch a.Kind {
@@ -101,6 +115,16 @@
 	}
 }
 
+// kept is what a restart finds.
+func (r *rig) kept() *keep.Kept {
+	r.t.Helper()
+	k, err := keep.Read(maps.All(r.records))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return k
+}
+
 func data(c machine.Conn, all ...proto.Message) machine.Input {
 	var b []byte
 	for _, m := range all {
@@ -322,10 +346,7 @@
 
 // An answer to a message that went ahead must not tell the module that those it passed have left.
 func TestAnswerToAWithdrawalWaitsForWhatItPassed(t *testing.T) {
-	core, err := New(choice.Bootstrap{Now: 10, Values: values(map[string]any{"channel_pace": 100.0})}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	core := New(choice.Bootstrap{Now: 10, Values: values(map[string]any{"channel_pace": 100.0})}, nil)
 	streams := make([]*stream, 3)
 	for i := range streams {
 		core.Step(10, []Event{Join{StreamID(i + 1), hello(fmt.Sprint("f", i))}})
@@ -333,7 +354,7 @@
 	}
 	core.channel.free = 20 // it is busy
 	for i, s := range streams {
-		core.channel.add(&message{to: s, step: uint64(i + 1), lines: 10, marked: true, mark: choice.Mark(i + 1), urgent: i == 2})
+		core.channel.add(&message{to: s, step: uint64(i + 1), lines: 10, marked: true, mark: choice.Mark(i + 1), wire: uint64(i + 1), urgent: i == 2})
 	}
 	core.out = Orders{}
 	core.channel.free = 10.5
@@ -357,13 +378,9 @@
 
 // The list fails during a restart: the kept list serves at once, and the list service is asked again until it answers.
 func TestRestartWhileTheListFails(t *testing.T) {
-	r := newRig(t, nil, nil)
+	r := newRig(t, nil, &keep.Kept{})
 	r.listed(5)
-	if r.saved == nil {
-		t.Fatal("the list was not kept")
-	}
-	kept := r.saved
-	r = newRig(t, nil, kept)
+	r = newRig(t, nil, r.kept())
 	r.join(1, "f0")
 	r.run(0.1)
 	if p := r.pushes(1); len(p) != 1 || len(holds(p)) < 3 {
@@ -382,15 +399,6 @@
 	if asked < 3 {
 		t.Fatalf("asked %d times in 18 s", asked)
 	}
-	for _, damage := range []func([]byte) []byte{
-		func(b []byte) []byte { return b[:len(b)-3] }, func(b []byte) []byte { b[len(b)-5] ^= 1; return b },
-		func([]byte) []byte { return nil }, func([]byte) []byte { return []byte("gingerfork-list 2 1 0\n") }} {
-		bad := newRig(t, nil, append([]byte{}, damage(slices.Clone(kept))...))
-		bad.step(0)
-		if len(bad.logs) == 0 || !strings.Contains(bad.logs[0], "kept list is not usable") || len(bad.m.core.roll.entries) > 0 {
-			t.Errorf("a damaged kept list: %q", bad.logs)
-		}
-	}
 }
 
 // Frames that are malformed, out of order or against the handshake close their stream with one reason, and no other.
@@ -473,7 +481,7 @@
 	for range 3 { // the same version again changes nothing
 		r.step(0.01, data(r.list, proto.List{Kind: proto.ListChanges, Base: 0, Version: 1, Entries: []proto.Entry{entry(1, proto.ServerDraining)}}))
 	}
-	if r.closed[r.list] || r.m.core.roll.entries[1].entry.State != choice.Open {
+	if r.closed[r.list] || r.m.core.roll.entries[1].Entry.State != choice.Open {
 		t.Error("a version that came twice applied twice")
 	}
 }
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -13,6 +13,7 @@
 	"slices"
 
 	"gingerfork/choice"
+	"gingerfork/internal/keep"
 	"gingerfork/internal/proto"
 )
 
@@ -44,6 +45,10 @@
 	News struct{ List proto.List }
 	// ListLost: the list service can't be reached, or the stream to it ended.
 	ListLost struct{}
+	// Durable: all records up to this batch are.
+	Durable struct{ Batch uint64 }
+	// NotKept: the store is out of order.
+	NotKept struct{}
 	// Probed: a probe ended.
 	Probed struct {
 		EP       choice.EP
@@ -66,8 +71,9 @@
 	Fetch  bool
 	Tells  []choice.Tell
 	Says   []string
-	Turns  []Turn // servers withdrawn or let in again, for the log
-	Kept   []byte // the list to keep; nil: as it was
+	Turns  []Turn     // servers withdrawn or let in again, for the log
+	Puts   []keep.Put // records to keep,
+	Batch  uint64     // under this number
 	Wake   choice.Seconds
 	// ListBad says why the last list frame was refused; the stream that it came on is to be closed.
 	ListBad error
@@ -89,7 +95,7 @@
 		EP      choice.EP
 		Out     bool
 		Proxies int
-		Mark    choice.Mark
+		Mark    uint64 // as proxies see it
 	}
 	// Target is a server to probe.
 	Target struct {
@@ -115,9 +121,11 @@
 
 // pending is a mark that was given to a proxy.
 type pending struct {
-	mark choice.Mark
-	step uint64
-	at   choice.Seconds
+	wire  uint64 // the mark as proxies see it
+	mark  choice.Mark
+	step  uint64
+	needs uint64 // what must be durable before its answer counts
+	at    choice.Seconds
 }
 
 // table is one of the module's tables, and who follows it.
@@ -138,6 +146,7 @@
 // held is an answer that must not reach the module yet.
 type held struct {
 	step   uint64
+	needs  uint64
 	answer choice.Answered
 	stream *stream
 }
@@ -150,6 +159,7 @@
 	round   choice.Seconds
 
 	roll    *roll
+	keep    *keep.Keeper
 	channel channel
 	intake  *intake
 	streams map[StreamID]*stream
@@ -191,24 +201,22 @@
 	return f
 }
 
-// New makes a coordinator that knows the list that its last run kept (nil: none). A kept list that is damaged is
-// reported, and the coordinator starts without one.
-func New(boot choice.Bootstrap, kept []byte) (*Core, error) {
+// New makes a coordinator that goes on from what its last run kept; nil: nothing is kept.
+func New(boot choice.Bootstrap, kept *keep.Kept) *Core {
 	c := &Core{boot: boot, planner: choice.New(boot), methods: int(boot.Num("method.n", 1)), round: boot.Num("tick", 0),
-		roll: &roll{entries: map[choice.EP]*server{}}, intake: newIntake(boot), streams: map[StreamID]*stream{},
+		roll: &roll{entries: map[choice.EP]*server{}}, keep: keep.New(boot.Now, kept), intake: newIntake(boot), streams: map[StreamID]*stream{},
 		members: map[string]*member{}, tables: map[choice.Table]*table{}, shut: map[choice.EP]bool{}, alarm: boot.Now}
 	c.channel = channel{pace: boot.Num("channel_pace", 1e4), head: int(boot.Num("message_lines", 0)), burst: c.round,
 		free: boot.Now}
 	c.stepped = boot.Now - c.round
-	var err error
-	if kept != nil {
-		var r *roll
-		if r, err = decodeKept(kept); err == nil {
-			c.roll = r
-			c.events = append(c.events, r.kept())
+	if kept != nil && kept.Held {
+		c.roll = &roll{version: kept.Version, held: true, entries: map[choice.EP]*server{}}
+		for ep, s := range kept.Servers {
+			c.roll.entries[ep] = &s
 		}
+		c.events = append(c.events, c.roll.kept())
 	}
-	return c, err
+	return c
 }
 
 // Failure is what Step panics with when the module failed: the step's orders must not be carried out, half done.
@@ -248,7 +256,11 @@
 	if at, any := c.intake.wake(); any {
 		c.wake(at)
 	}
+	if at, any := c.keep.Wake(now); any {
+		c.wake(at)
+	}
 	c.forget(now)
+	c.out.Puts, c.out.Batch = c.keep.Take(now)
 	// Whatever asks, the next step is not at this very moment: it would be asked for again and again.
 	c.out.Wake = max(c.out.Wake, now+shortest)
 	return c.out
@@ -268,7 +280,7 @@
 		}
 	case Answer:
 		if s := c.streams[e.Stream]; s != nil {
-			c.answer(now, s, choice.Mark(e.Mark))
+			c.answer(now, s, e.Mark)
 		}
 	case Sums:
 		if s := c.streams[e.Stream]; s != nil {
@@ -276,16 +288,20 @@
 			c.intake.heard(now, s, e.Sums, func(ep choice.EP) bool { return c.roll.entries[ep] != nil }, c.methods)
 		}
 	case News:
-		l, err := c.roll.news(now, e.List)
+		l, changed, gone, err := c.roll.news(now, e.List)
 		if err != nil {
 			c.out.ListBad = err
 			l = &choice.Listed{Kind: choice.ListFailed}
 		} else if len(l.Entries) > 0 || l.Kind == choice.ListFull {
-			c.out.Kept = c.roll.encode()
+			c.keep.Listed(now, c.roll.version, changed, gone)
 		}
 		c.events = append(c.events, *l)
 	case ListLost:
 		c.events = append(c.events, choice.Listed{Kind: choice.ListFailed})
+	case Durable:
+		c.keep.Durable(e.Batch)
+	case NotKept:
+		c.keep.Lost()
 	case Probed:
 		c.events = append(c.events, choice.Probed{EP: e.EP, OK: e.OK, Busy: e.Busy, Delay: e.Delay})
 	case PeerNote:
@@ -346,6 +362,7 @@
 		// One that came back in between, and perhaps left again, stands in the row once more.
 		if m.stream == nil && now >= m.left+choice.KeepPlace*2 && c.members[m.name] == m {
 			delete(c.members, m.name)
+			c.keep.Forget(m.name)
 			c.intake.forget(m.number)
 			c.spare = append(c.spare, m.number)
 		}
@@ -353,24 +370,26 @@
 }
 
 // answer checks that the mark is in flight on this very stream; stale and unknown ones are ignored, as the design says.
-func (c *Core) answer(now choice.Seconds, s *stream, mark choice.Mark) {
-	at := slices.IndexFunc(s.marks, func(p pending) bool { return p.mark == mark })
+func (c *Core) answer(now choice.Seconds, s *stream, mark uint64) {
+	at := slices.IndexFunc(s.marks, func(p pending) bool { return p.wire == mark })
 	if at < 0 {
 		c.figures.Stale++
 		return
 	}
 	p := s.marks[at]
 	s.marks = append(s.marks[:0], s.marks[at+1:]...)
-	c.answers = append(c.answers, held{p.step, choice.Answered{Proxy: s.proxy, Mark: mark, Delay: now - p.at}, s})
+	c.keep.Confirmed(s.name, mark)
+	c.answers = append(c.answers, held{p.step, p.needs, choice.Answered{Proxy: s.proxy, Mark: p.mark, Delay: now - p.at}, s})
 }
 
 // release hands over answers. The module takes an answer as proof that all that was ordered before has left the channel;
-// as withdrawals pass by what waits, an answer to one is held until that is so.
+// as withdrawals pass by what waits, an answer to one is held until that is so. One to an order that takes a server out
+// of use is held, too, until a crash can't make us forget that order: what counts as done must stay known.
 func (c *Core) release(now choice.Seconds) {
 	oldest, any := c.channel.oldest()
 	kept := c.answers[:0]
 	for _, h := range c.answers {
-		if any && h.step > oldest {
+		if any && h.step > oldest || !c.keep.Counts(now, h.needs) {
 			kept = append(kept, h)
 			continue
 		}
@@ -396,27 +415,29 @@
 			c.carry(now, o)
 		}
 	}
-	for i := range c.out.Turns {
-		if mark != nil {
-			c.out.Turns[i].Mark = mark.Mark
-		}
-	}
 	c.shutOut()
 	if mark != nil && mark.All {
 		for s := range c.joined() {
 			c.of(s)
 		}
 	}
+	var wire, needs uint64
+	if mark != nil && len(c.touched) > 0 {
+		wire, needs = c.keep.Mark(), c.keep.Needs()
+	}
 	for _, s := range c.touched {
 		m := s.now
 		s.now = nil
 		if mark != nil {
-			m.marked, m.mark = true, mark.Mark
+			m.marked, m.mark, m.wire, m.needs = true, mark.Mark, wire, needs
 			m.lines++
 		}
 		c.channel.add(m)
 	}
 	c.touched = c.touched[:0]
+	for i := range c.out.Turns {
+		c.out.Turns[i].Mark = wire
+	}
 }
 
 // shutOut tells proxies that joined in this step what is withdrawn, where the module has no table to give them: as what
@@ -428,13 +449,13 @@
 		if s == nil || len(s.binds) > 0 {
 			continue
 		}
-		all := make([]choice.EP, 0, len(c.shut))
+		// What the list took out of use before a restart, too: the module, which was not there, orders nothing for it.
+		all := c.keep.Drained()
 		for ep := range c.shut {
-			if !s.shut[ep] {
-				all = append(all, ep)
-			}
+			all = append(all, ep)
 		}
 		slices.Sort(all)
+		all = slices.DeleteFunc(slices.Compact(all), func(ep choice.EP) bool { return s.shut[ep] })
 		for _, ep := range all {
 			s.shut[ep] = true
 			c.add(s, proto.Op{Kind: proto.OpWithdraw, Withdrawn: []proto.EP{proto.EP(ep)}}, 1)
@@ -496,7 +517,7 @@
 func (c *Core) line(ep choice.EP, weight float64) proto.Line {
 	l := proto.Line{EP: proto.EP(ep), Weight: weight, Shut: c.shut[ep]}
 	if s := c.roll.entries[ep]; s != nil && weight > 0 {
-		l.Addr = s.addr
+		l.Addr = s.Addr
 	}
 	return l
 }
@@ -552,7 +573,7 @@
 		c.out.Fetch = true
 	case choice.Probe:
 		if s := c.roll.entries[o.EP]; s != nil {
-			c.out.Probes = append(c.out.Probes, Target{o.EP, s.addr})
+			c.out.Probes = append(c.out.Probes, Target{o.EP, s.Addr})
 		}
 	case choice.Alarm:
 		// The module asks for one at a time and looks at the clock itself; the soonest serves them all.
@@ -593,6 +614,11 @@
 		op.Withdrawn = append(op.Withdrawn, proto.EP(ep))
 	}
 	slices.Sort(op.Withdrawn)
+	// What this message orders to be withdrawn before the table, the table says itself.
+	m := c.of(s)
+	before := len(m.ops)
+	m.ops = slices.DeleteFunc(m.ops, func(o proto.Op) bool { return o.Kind == proto.OpWithdraw })
+	m.lines -= before - len(m.ops)
 	c.add(s, op, 1+len(op.Lines)+len(op.Levels))
 }
 
@@ -625,7 +651,7 @@
 
 // pump sends what may leave by now.
 func (c *Core) pump(now choice.Seconds) {
-	for {
+	for c.keep.Open(now) {
 		m := c.channel.next(now)
 		if m == nil {
 			return
@@ -633,11 +659,12 @@
 		s := m.to
 		s.sent++
 		if m.marked {
-			s.marks = append(s.marks, pending{m.mark, m.step, m.at})
+			s.marks = append(s.marks, pending{m.wire, m.mark, m.step, m.needs, m.at})
+			c.keep.Sent(s.name, m.wire)
 		}
 		c.figures.Messages++
 		c.figures.Lines += m.lines
 		c.out.Sends = append(c.out.Sends, Send{s.id, proto.Push{Seq: s.sent, Waiting: uint64(max(c.channel.waiting, 0)),
-			Marked: m.marked, Mark: uint64(m.mark), Ops: m.ops}})
+			Marked: m.marked, Mark: m.wire, Ops: m.ops}})
 	}
 }
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -7,13 +7,11 @@
 	"unicode"
 
 	"gingerfork/choice"
+	"gingerfork/internal/keep"
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
 )
 
-// KeptList names the file in which the list is kept between starts.
-const KeptList = "list"
-
 // Bootstrap is what a coordinator is started with.
 type Bootstrap struct {
 	Name         string
@@ -26,7 +24,8 @@
 	ListSilence  machine.Seconds // of the list service
 	ProbeTimeout machine.Seconds
 	MostStreams  int
-	MostProbes   int // at once; more wait
+	MostProbes   int    // at once; more wait
+	Text         string // the settings as they are kept
 }
 
 // role is what a connection is to us.
@@ -69,26 +68,25 @@
 	swept    machine.Seconds
 	faulted  map[string]int // refusals by reason, so that a storm of them makes few lines in the log
 	started  bool
-	renewed  bool // since the last step
-	keptBad  error
+	unkept   string // why the store is out of order; "": it is not
+	renewed  bool   // since the last step
 }
 
-// NewMachine makes a coordinator; kept is the file KeptList as last saved, nil if there is none.
-func NewMachine(boot Bootstrap, kept []byte) *Machine {
-	core, err := New(boot.Module, kept)
-	return &Machine{boot: boot, core: core, sessions: map[machine.Conn]*session{}, peers: map[choice.Peer]*session{},
-		dialled: machine.Dialled, swept: boot.Module.Now, faulted: map[string]int{}, keptBad: err}
+// NewMachine makes a coordinator that goes on from what its last run kept; nil: nothing is kept. Whoever drives it with
+// something kept must write out.Puts, and tell what became of them.
+func NewMachine(boot Bootstrap, kept *keep.Kept) *Machine {
+	return &Machine{boot: boot, core: New(boot.Module, kept), sessions: map[machine.Conn]*session{}, peers: map[choice.Peer]*session{},
+		dialled: machine.Dialled, swept: boot.Module.Now, faulted: map[string]int{}}
 }
 
 // Renew puts other settings in force. The module reads its settings once, so a fresh instance takes over, as after a
 // restart: from the list as held, with no streams. Proxies are refused with that reason, keep their tables, and join
 // again. It must be called between steps.
 func (m *Machine) Renew(boot Bootstrap) {
-	kept := m.core.roll
-	core, _ := New(boot.Module, nil)
-	if kept.held {
-		core.roll = kept
-		core.events = append(core.events, kept.kept())
+	core := New(boot.Module, nil)
+	core.keep, core.roll = m.core.keep, m.core.roll
+	if core.roll.held {
+		core.events = append(core.events, core.roll.kept())
 	}
 	m.boot, m.core, m.renewed = boot, core, true
 }
@@ -110,11 +108,12 @@
 	}()
 	if !m.started {
 		m.started = true
-		if m.keptBad != nil {
-			out.Log(2, "the kept list is not usable; starting without one", "cause", m.keptBad.Error())
+		if m.core.keep.Settings(m.boot.Text) {
+			out.Log(1, "the settings are other than in the run before")
 		}
 	}
 	if m.renewed {
+		m.core.keep.Settings(m.boot.Text)
 		m.renewed = false
 		for _, s := range m.order {
 			if m.sessions[s.conn] == s && s.role == proxyRole {
@@ -188,6 +187,18 @@
 				return m.lost(now, s, out, events, err.Error())
 			}
 		}
+	case machine.Kept:
+		if m.unkept != "" {
+			out.Log(1, "the store is in order again")
+			m.unkept = ""
+		}
+		return append(events, Durable{i.N})
+	case machine.NotKept:
+		if i.Text != m.unkept {
+			m.unkept = i.Text
+			out.Log(3, "the store is out of order: what is decided from now on is not known after a restart", "cause", i.Text)
+		}
+		return append(events, NotKept{})
 	case machine.Told:
 		out.Log(2, "this coordinator takes no words yet", "word", i.Text)
 	}
@@ -451,11 +462,9 @@
 		if t.Out {
 			text = "server withdrawn"
 		}
-		out.Log(1, text, "backend", uint32(t.EP), "mark", int(t.Mark), "proxies", t.Proxies)
-	}
-	if o.Kept != nil {
-		out.Save(KeptList, o.Kept)
+		out.Log(1, text, "backend", uint32(t.EP), "mark", t.Mark, "proxies", t.Proxies)
 	}
+	out.Keep(o.Puts, o.Batch)
 }
 
 func (m *Machine) askList(now machine.Seconds, ask proto.Message, out *machine.Out) {
--- /dev/null
+++ b/internal/keep/keep_test.go
@@ -0,0 +1,145 @@
+package keep
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"gingerfork/choice"
+)
+
+// Random news, pushes and answers; batches become durable late, and at a crash a prefix of those that were not. What is
+// read then is the state after some batch that is no earlier than the last that was known durable; no mark is given twice;
+// no answer to a push that follows a drain has counted whose drain is not known.
+func TestCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := map[string][]byte{}
+		now, given := 100.0, uint64(0)
+		for range rapid.IntRange(1, 4).Draw(t, "lives") {
+			kept, err := Read(maps.All(records))
+			if err != nil {
+				t.Fatal(err)
+			}
+			k := New(now, kept)
+			batches := [][]Put{}
+			durable, version := 0, kept.Version
+			type answer struct {
+				needs uint64
+				out   map[choice.EP]bool // by then
+			}
+			var answers []answer
+			for range rapid.IntRange(1, 30).Draw(t, "steps") {
+				now += rapid.Float64Range(0, 0.2).Draw(t, "time")
+				switch rapid.SampledFrom([]string{"list", "mark", "proxy", "durable"}).Draw(t, "what") {
+				case "list":
+					version++
+					ep := choice.EP(rapid.IntRange(1, 4).Draw(t, "ep"))
+					if rapid.IntRange(0, 3).Draw(t, "gone") == 0 {
+						k.Listed(now, version, nil, []choice.EP{ep})
+					} else {
+						k.Listed(now, version, []Server{{Entry: choice.Entry{EP: ep, Kind: "a b", Zone: "z\"", Weight: 1.5, Start: now,
+							State: choice.State(rapid.IntRange(0, 1).Draw(t, "state"))}, Stamp: version, Addr: "h:1"}}, nil)
+					}
+				case "mark":
+					if !k.Open(now) {
+						break
+					}
+					m := k.Mark()
+					if m <= given {
+						t.Fatalf("mark %d after %d", m, given)
+					}
+					given = m
+					out := map[choice.EP]bool{}
+					for _, ep := range k.Drained() {
+						out[ep] = true
+					}
+					answers = append(answers, answer{k.Needs(), out})
+				case "proxy":
+					k.Sent("f", given)
+					k.Confirmed("f", given)
+				case "durable":
+					if durable < len(batches) {
+						durable += rapid.IntRange(1, len(batches)-durable).Draw(t, "batches")
+						k.Durable(uint64(durable))
+					}
+				}
+				if puts, n := k.Take(now); n > 0 {
+					if batches = append(batches, puts); int(n) != len(batches) {
+						t.Fatalf("batch %d is the %dth", n, len(batches))
+					}
+				}
+			}
+			left := rapid.IntRange(durable, len(batches)).Draw(t, "left")
+			// Only what was durable is surely there; and only that was to be counted, but for patience.
+			sure := maps.Clone(records)
+			for i, puts := range batches[:left] {
+				for _, p := range puts {
+					if records[p.Key] = p.Value; p.Value == nil {
+						delete(records, p.Key)
+					}
+				}
+				if i < durable {
+					sure = maps.Clone(records)
+				}
+			}
+			then, err := Read(maps.All(sure))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, a := range answers {
+				if !k.Counts(0, a.needs) {
+					continue
+				}
+				for ep := range a.out {
+					s, listed := then.Servers[ep]
+					if _, known := then.Drains[ep]; !known && !(listed && s.Entry.State == choice.Open) {
+						t.Fatalf("an answer counted that needs batch %d of %d, and the drain of %d is not known", a.needs, durable, ep)
+					}
+				}
+			}
+		}
+	})
+}
+
+// What is kept is read as it was.
+func TestRead(t *testing.T) {
+	k := New(50, &Kept{})
+	s := Server{Entry: choice.Entry{EP: 3, Kind: "big one", Zone: "dc \"a\"", Weight: 0.1, Start: 1234.5678901, Cell: 2, State: choice.Draining}, Stamp: 1 << 63, Addr: "[::1]:80"}
+	k.Listed(51.25, 9, []Server{s}, []choice.EP{4})
+	k.Mark()
+	k.Sent("f 0", 7)
+	k.Confirmed("f 0", 5)
+	k.Settings("a\nb")
+	k.Take(51)
+	records := map[string][]byte{}
+	k = New(50, &Kept{})
+	k.Listed(51.25, 9, []Server{s}, []choice.EP{4})
+	k.Sent("f 0", 7)
+	k.Confirmed("f 0", 5)
+	k.Settings("a\nb")
+	puts, _ := k.Take(52)
+	for _, p := range puts {
+		records[p.Key] = p.Value
+	}
+	got, err := Read(maps.All(records))
+	want := &Kept{Held: true, Version: 9, Servers: map[choice.EP]Server{3: s}, Drains: map[choice.EP]Drain{3: {51.25, 1 << 63, false}, 4: {51.25, 0, true}},
+		Proxies: map[string]Proxy{"f 0": {5, 7}}, Marks: 1 + marksAtOnce, Settings: "a\nb"}
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Fatal(err, diff)
+	}
+	for key, value := range map[string]string{"server/x": "1", "marks": "many", "other": "", "drain/0000000001": "soon 1 true", "proxy/a": "1", "server/0000000001": "0"} {
+		if _, err := Read(maps.All(map[string][]byte{key: []byte(value)})); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("%q", key)) {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+	if _, err := Read(maps.All(map[string][]byte{"server/0000000003": s.encode()})); err == nil {
+		t.Error("servers without a version were taken")
+	}
+	if k.Settings("a\nb") || !k.Settings("c") {
+		t.Error("other settings were not told, or the same were")
+	}
+}
--- a/internal/listing/day_test.go
+++ b/internal/listing/day_test.go
@@ -9,6 +9,7 @@
 	"gingerfork/internal/coordinator"
 	"gingerfork/internal/emulator"
 	"gingerfork/internal/follow"
+	"gingerfork/internal/keep"
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
 	"gingerfork/internal/rehearse"
@@ -130,8 +131,16 @@
 			}
 			values["self"], values["coordinators"] = float64(i), 2.0
 			b.Values, b.Seed = values, uint64(i)+1
+			records, err := w.Records(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			kept, err := keep.Read(records)
+			if err != nil {
+				t.Fatal(err)
+			}
 			return coordinator.NewMachine(coordinator.Bootstrap{Name: name, Zone: zone, ListAddr: "list", Module: b, Handshake: 1, Silence: 10, ListSilence: 5,
-				ProbeTimeout: 1, MostStreams: 100, MostProbes: 10}, files[coordinator.KeptList])
+				ProbeTimeout: 1, MostStreams: 100, MostProbes: 10}, kept)
 		}, name)
 		records = append(records, trace.Record{T: epoch, Kind: trace.Boot, Who: name})
 		w.Start(name)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -19,15 +19,17 @@
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"gingerfork/internal/machine"
+	"gingerfork/internal/store"
 	"gingerfork/internal/trace"
 )
 
 // Bootstrap is what a loop is started with. Zero values are usable where it says so.
 type Bootstrap struct {
 	Machine machine.Machine
-	Listen  []string // TCP addresses; the machine knows them as doors, by their place here
-	Dir     string   // where files are saved; "": nowhere
-	Loops   int      // event loops; 0: one
+	Listen  []string     // TCP addresses; the machine knows them as doors, by their place here
+	Store   *store.Store // where records are kept; nil: nowhere. Close it after Wait
+	Dir     string       // where files are saved; "": nowhere
+	Loops   int          // event loops; 0: one
 	// MostOut bounds the bytes that wait for a reader that does not read; one past it is cut off. 0: 4 MiB
 	MostOut int
 	// MostIn bounds the bytes that wait for the machine; past it nothing is read from anybody. 0: 64 MiB
@@ -86,7 +88,8 @@
 	over    bool
 	rouse   chan struct{}
 
-	peers map[machine.Conn]*peer // the owner's alone
+	peers  map[machine.Conn]*peer // the owner's alone
+	keeper *keeper                // nil: nothing is kept
 }
 
 // peer is one connection. conn is set before its Opened is in the box.
@@ -140,6 +143,10 @@
 		l.work.Add(1)
 		go l.accept(i, door)
 	}
+	if boot.Store != nil {
+		l.keeper = newKeeper(boot.Store, l.ctx.Done(), func(i machine.Input) { l.post(mail{input: i}) })
+		go l.keeper.run() // end waits for it
+	}
 	go l.own()
 	return l, nil
 }
@@ -334,6 +341,9 @@
 	l.room.Broadcast()
 	l.mu.Unlock()
 	l.work.Wait()
+	if l.keeper != nil {
+		<-l.keeper.closed
+	}
 	if err := l.client.Stop(); err != nil && l.err == nil {
 		l.err = fmt.Errorf("stop the event loops: %w", err)
 	}
@@ -423,6 +433,9 @@
 	for _, n := range out.Notes {
 		l.boot.Log.Log(l.ctx, []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn, slog.LevelError}[n.Level], n.Text, n.Pairs...)
 	}
+	if out.Batch > 0 && l.keeper != nil {
+		l.keeper.keep(out.Puts, out.Batch)
+	}
 	if l.boot.Trace != nil && len(out.Trace) > 0 {
 		l.boot.Trace(out.Trace)
 	}
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -20,10 +20,12 @@
 type Kind uint8
 
 const (
-	Opened Kind = iota // a connection stands: one accepted at Door, or one that was dialled
-	Data               // bytes came on Conn
-	Closed             // Conn is gone, or could not be opened; Why says so. Nothing more comes of it
-	Told               // an operator's or a script's word, in Text
+	Opened  Kind = iota // a connection stands: one accepted at Door, or one that was dialled
+	Data                // bytes came on Conn
+	Closed              // Conn is gone, or could not be opened; Why says so. Nothing more comes of it
+	Told                // an operator's or a script's word, in Text
+	Kept                // all records up to batch N are durable
+	NotKept             // the store is out of order, Text says why; a Kept later tells that it is not any more
 )
 
 // Input is one thing that came in.
@@ -33,6 +35,7 @@
 	Door int // of the machine's listening addresses, which one
 	Data []byte
 	Text string
+	N    uint64
 }
 
 // ActKind tells what an act is.
@@ -53,6 +56,12 @@
 	Data []byte
 }
 
+// Put is a record to be kept; without a value it is to be removed.
+type Put struct {
+	Key   string
+	Value []byte
+}
+
 // Note is a line for the log: a message and pairs of key and value.
 type Note struct {
 	Level int // 0 debug, 1 info, 2 warning, 3 error
@@ -69,6 +78,8 @@
 	Notes []Note
 	Trace []trace.Record
 	Saves map[string][]byte // files to be replaced whole, by name
+	Puts  []Put             // records to be kept, all of them or none,
+	Batch uint64            // under this number; 0: none
 	Wake  Seconds           // the step after this comes no later
 	Fail  string            // the machine is broken and must not be stepped again
 	Stop  bool              // the machine is done and wants to end
@@ -111,6 +122,9 @@
 	o.Saves[name] = data
 }
 
+// Keep has records kept. What became of them is told by Kept and NotKept.
+func (o *Out) Keep(puts []Put, batch uint64) { o.Puts, o.Batch = puts, batch }
+
 // Record adds a record to the trace.
 func (o *Out) Record(r trace.Record) { o.Trace = append(o.Trace, r) }
 
--- a/internal/proto/messages.go
+++ b/internal/proto/messages.go
@@ -208,8 +208,9 @@
 	tHeard
 )
 
-// MostMark is the largest mark; marks wrap round after it.
-const MostMark = 65535
+// MostMark is the largest mark. A coordinator gives them in rising order, over its restarts too: it sets them aside a
+// million at a time.
+const MostMark = 1<<53 - 1
 
 func (Hello) kind() Type      { return tHello }
 func (Welcome) kind() Type    { return tWelcome }
--- a/internal/proto/proto_test.go
+++ b/internal/proto/proto_test.go
@@ -141,7 +141,7 @@
 		"unknown":      {frame(99), "unknown type 99"},
 		"short":        {frame(tAnswer), "ends within a field"},
 		"long":         {frame(tAnswer, 1, 1), "1 bytes too many"},
-		"mark":         {frame(tAnswer, 0x80, 0x80, 0x04), "mark 65536, at most 65535"},
+		"mark":         {frame(tAnswer, 0x80, 0x80, 0x80, 0x80, 0x80, 0x80, 0x80, 0x10), "mark 9007199254740992, at most 9007199254740991"},
 		"nan":          {frame(tSums, 0x7f, 0xf8, 0, 0, 0, 0, 0, 0), "finite and 0 or above"},
 		"below zero":   {frame(tSums, 0xbf, 0xf0, 0, 0, 0, 0, 0, 0), "finite and 0 or above"},
 		"forged count": {frame(tWelcome, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff, 0xff, 0x7f), "ends within a field"},
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -8,6 +8,7 @@
 	"gingerfork/choice"
 	"gingerfork/internal/coordinator"
 	"gingerfork/internal/emulator"
+	"gingerfork/internal/keep"
 	"gingerfork/internal/machine"
 	"gingerfork/internal/proto"
 	"gingerfork/internal/rules"
@@ -570,7 +571,11 @@
 			if o.Way == AllServers {
 				return standin.NewPlain(a.name, "list", d.Trade.Methods, b.Module.Num("report_period", 1))
 			}
-			m := machine.Machine(coordinator.NewMachine(b, files[coordinator.KeptList]))
+			kept, err := keptBy(w, a.name)
+			if err != nil {
+				w.Fails = append(w.Fails, fmt.Sprintf("%s: %v", a.name, err))
+			}
+			m := machine.Machine(coordinator.NewMachine(b, kept))
 			if o.Way == FrozenStart {
 				m = frost.Wrap(m)
 			}
@@ -595,3 +600,12 @@
 	r.Steps = w.Steps
 	return r, err
 }
+
+// keptBy opens a node's store and reads what its last life left.
+func keptBy(w *virtual.World, name string) (*keep.Kept, error) {
+	records, err := w.Records(name)
+	if err != nil {
+		return nil, err
+	}
+	return keep.Read(records)
+}
--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -210,6 +210,12 @@
 	b.n++
 }
 
+// Add adds another's changes behind its own.
+func (b *Batch) Add(o *Batch) {
+	b.payload = append(b.payload, o.payload...)
+	b.n += o.n
+}
+
 // Len is how many changes are in it.
 func (b *Batch) Len() int { return b.n }
 
--- a/internal/store/salvage.go
+++ b/internal/store/salvage.go
@@ -13,6 +13,7 @@
 
 // Salvage is what can be read of a store, damaged or not: every frame that stands whole, in order.
 type Salvage struct {
+	Fresh    bool // there is no store yet
 	Whole    bool // nothing is damaged; a torn tail is none
 	Damage   string
 	Files    []FileReport
@@ -52,7 +53,7 @@
 	var damage *Damage
 	switch {
 	case err == nil:
-		s.Whole, s.Recovery = true, f.recovery
+		s.Whole, s.Fresh, s.Recovery = true, f.fresh, f.recovery
 		s.index, s.seq, s.Keys, s.Batches, s.Lost = f.index, f.seq, f.index.Len(), f.recovery.Frames, nil
 	case errors.As(err, &damage):
 		s.Damage = err.Error()
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -6,10 +6,13 @@
 import (
 	"container/heap"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"slices"
 
+	"gingerfork/internal/disk"
 	"gingerfork/internal/machine"
+	"gingerfork/internal/store"
 	"gingerfork/internal/trace"
 )
 
@@ -26,21 +29,23 @@
 
 // World is the network and all that is on it.
 type World struct {
-	now    machine.Seconds
-	dice   *rand.Rand
-	count  uint64
-	events queue
-	nodes  map[string]*node
-	order  []*node
-	doors  map[string]door
-	links  []rule
-	same   machine.Seconds // latency within a zone
-	cross  machine.Seconds // and between zones
-	Trace  func(trace.Record)
-	Log    func(t machine.Seconds, node string, n machine.Note)
-	Fails  []string // of machines that failed
-	Steps  int
-	Bytes  int
+	now  machine.Seconds
+	dice *rand.Rand
+	// diskDice is for what disks do, so that a run with stores draws for its network what one without does.
+	diskDice *rand.Rand
+	count    uint64
+	events   queue
+	nodes    map[string]*node
+	order    []*node
+	doors    map[string]door
+	links    []rule
+	same     machine.Seconds // latency within a zone
+	cross    machine.Seconds // and between zones
+	Trace    func(trace.Record)
+	Log      func(t machine.Seconds, node string, n machine.Note)
+	Fails    []string // of machines that failed
+	Steps    int
+	Bytes    int
 }
 
 type door struct {
@@ -60,6 +65,8 @@
 	make  Maker
 	doors []string
 	files map[string][]byte
+	disk  *disk.Memory // what is kept; nil: nothing was yet
+	store *store.Store // of this life; nil: it keeps nothing
 
 	life    int // counts starts; 0: never started
 	up      bool
@@ -119,7 +126,7 @@
 
 // New makes an empty world at a time.
 func New(seed uint64, now, same, cross machine.Seconds) *World {
-	return &World{now: now, dice: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{}, doors: map[string]door{}, same: same, cross: cross}
+	return &World{now: now, dice: rand.New(rand.NewPCG(seed, 1)), diskDice: rand.New(rand.NewPCG(seed, 2)), nodes: map[string]*node{}, doors: map[string]door{}, same: same, cross: cross}
 }
 
 // Now is the time.
@@ -183,6 +190,60 @@
 	w.step(n)
 }
 
+// Records opens the store of a node that is being made, and gives what its earlier lives kept. Call it in its Maker.
+func (w *World) Records(name string) (iter.Seq2[string, []byte], error) {
+	n := w.nodes[name]
+	if n.disk == nil {
+		n.disk = disk.NewMemory()
+	}
+	s, _, err := store.Open(store.Bootstrap{Folder: n.disk, ID: 1})
+	if err != nil {
+		w.Fails = append(w.Fails, fmt.Sprintf("%.6f %s: %v", w.now, name, err))
+		return nil, err
+	}
+	n.store = s
+	return s.Scan(""), nil
+}
+
+// Disk is what a node's store stands on; nil: it has none.
+func (w *World) Disk(name string) *disk.Memory { return w.nodes[name].disk }
+
+// keep writes what a step wants kept. It is durable some milliseconds later.
+func (w *World) keep(n *node, puts []machine.Put, batch uint64) {
+	if n.store == nil || batch == 0 {
+		return
+	}
+	var b store.Batch
+	for _, p := range puts {
+		if p.Value == nil {
+			b.Delete(p.Key)
+		} else {
+			b.Put(p.Key, p.Value)
+		}
+	}
+	seq, err := n.store.Write(&b)
+	life := n.life
+	w.At(w.now+syncTime*(0.5+w.diskDice.Float64()), func() {
+		if n.life != life || !n.up {
+			return
+		}
+		if err == nil {
+			err = n.store.SyncTo(seq)
+		}
+		if err != nil {
+			w.input(n, machine.Input{Kind: machine.NotKept, Text: err.Error()})
+			return
+		}
+		for more, err := true, error(nil); more && err == nil; {
+			more, err = n.store.Compact(false)
+		}
+		w.input(n, machine.Input{Kind: machine.Kept, N: batch})
+	})
+}
+
+// syncTime is about what a sync takes on a disk, in seconds.
+const syncTime = 0.005
+
 // Kill ends a node's process outright. Its peers see their connections reset, some in the middle of what was sent.
 func (w *World) Kill(name string) {
 	n := w.nodes[name]
@@ -190,6 +251,10 @@
 		return
 	}
 	n.up, n.m, n.inbox = false, nil, nil
+	if n.store != nil {
+		// As with the power cut: what was not synced is there or not, by the sector.
+		n.disk, n.store = n.disk.Crash(func() bool { return w.diskDice.Uint64()&1 == 0 }), nil
+	}
 	for _, e := range w.ends(n) {
 		e.gone = true
 		if e.other != nil && w.between(n, e.other.node).Cut {
@@ -352,6 +417,7 @@
 	for name, data := range out.Saves {
 		n.files[name] = data
 	}
+	w.keep(n, out.Puts, out.Batch)
 	for _, a := range out.Acts {
 		w.act(n, a)
 	}
