--- a/internal/store/frame.go
+++ b/internal/store/frame.go
@@ -187,6 +187,7 @@
 	opPut    = 1
 	opDelete = 2
 	opEnd    = 3 // of a snapshot, with the number of its keys
+	opClosed = 4 // all before it is durable
 )
 
 // Batch is what is written as a whole or not at all.
@@ -251,6 +252,8 @@
 			}
 			end, p = int(n), p[size:]
 			continue
+		case opClosed:
+			continue
 		case opPut, opDelete:
 		default:
 			return end, bad
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -93,6 +93,7 @@
 	fresh    bool // there is no store yet
 	index    *btree.Map[string, []byte]
 	seq      uint64
+	closed   bool   // in order: all of it is durable
 	last     uint64 // the highest number that any file has
 	snapSize int64
 	recovery Recovery
@@ -219,7 +220,8 @@
 		f.recovery.Bytes += int64(len(data))
 		h, err := f.head(data, false, number)
 		if errors.Is(err, errTorn) && number > f.manifest.first && len(data) <= headSize {
-			break // a crash while it was made: nothing was ever written behind its head
+			f.closed = false // a crash while it was made: nothing was ever written behind its head, nor can be
+			break
 		}
 		if err != nil {
 			return f.damage(d, name, 0, err)
@@ -243,6 +245,7 @@
 				return f.damage(d, name, off, err)
 			}
 			f.seq, off = x.seq, off+x.size
+			f.closed = len(x.payload) == 1 && x.payload[0] == opClosed && x.durable+1 == x.seq
 			f.recovery.Frames++
 		}
 		if at.name != "" {
@@ -254,6 +257,7 @@
 			}
 		}
 	}
+	f.closed = f.closed && at.name == ""
 	f.recovery.Cut, f.recovery.CutFile = at.cut, at.name
 	f.recovery.Keys, f.recovery.Seq = f.index.Len(), f.seq
 	return nil
