--- a/cmd/gingerfork/measure.go
+++ b/cmd/gingerfork/measure.go
@@ -10,7 +10,7 @@
 )
 
 type measureCmd struct {
-	Which   []string `arg:"" optional:"" help:"drains, joins, idle, emulator or retries; none: all." enum:"drains,joins,idle,emulator,retries"`
+	Which   []string `arg:"" optional:"" help:"drains, joins, idle, emulator, retries or store; none: all." enum:"drains,joins,idle,emulator,retries,store"`
 	Picture string   `help:"Draw goodput against offered load (retries) to this PNG file." placeholder:"FILE"`
 }
 
--- a/cmd/gingerfork/rehearse.go
+++ b/cmd/gingerfork/rehearse.go
@@ -25,6 +25,7 @@
 	Beside  bool     `help:"Play each day in virtual time in three ways on the same seed, beside the most that was possible."`
 	Scale   float64  `help:"Play with so many times the servers and front ends." default:"1" placeholder:"X"`
 	Search  int      `help:"Play so many random scripts of two to four troubles in virtual time, and shrink what breaks a rule." placeholder:"N"`
+	Kills   int      `help:"Beside the day's own troubles, kill a coordinator's process outright so many times, at moments drawn from the seed; each comes back after a second or so." placeholder:"N"`
 	Seed    uint64   `help:"Another seed than the day's; for a search, the first." placeholder:"N"`
 }
 
@@ -104,6 +105,9 @@
 	if c.Scale != 1 && c.Scale > 0 {
 		d.Scale(c.Scale)
 	}
+	if c.Kills > 0 {
+		d.Kills(c.Kills)
+	}
 }
 
 // beside prints a line for each day: its service in each way, the bound, and what broke.
--- a/cmd/gingerfork/store_test.go
+++ b/cmd/gingerfork/store_test.go
@@ -34,7 +34,7 @@
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if code, out, err := call("store", "check", dir); code != good || !strings.Contains(out, "whole: 3 keys, 3 batches") {
+	if code, out, err := call("store", "check", dir); code != good || !strings.Contains(out, "whole: 3 keys, 4 batches") {
 		t.Errorf("%s%s", out, err)
 	}
 	if code, out, _ := call("store", "dump", dir, "--from", "b"); code != good || out != "\"b\" \"value of b\"\n" {
--- a/internal/bootstrap/keywords.go
+++ b/internal/bootstrap/keywords.go
@@ -52,7 +52,7 @@
 	{"instance", "list-pool", word, nil, 0, 0, "-", "", "Which of its backends; - if it has one.", "list-pool tasks"},
 	{"instance", "list-drain", duration, nil, 0, 86400, "30s", "", "A server that left the file drains for so long before it leaves the list.", "list-drain 30s"},
 	{"instance", "list-most-lost", share, nil, 0, 1, "50%", "", "A file that takes more of the servers out of use is held back until it is read a second time.", "list-most-lost 50%"},
-	{"instance", "state", path, nil, 0, 0, "-", "", "The folder for what is kept between starts (the list as last held); - keeps nothing. Relative to the file.", "state /var/lib/gingerfork"},
+	{"instance", "state", path, nil, 0, 0, "-", "", "The folder for what is kept between starts: list, drains, marks, in a store (docs/store.md); - keeps nothing. Relative to the file.", "state /var/lib/gingerfork"},
 	{"instance", "seed", whole, nil, 0, 1 << 53, "1", "", "What chance is drawn from; two coordinators should differ.", "seed 41"},
 	{"instance", "coordinators", whole, nil, 1, 1000, "1", "coordinators", "How many coordinators share the fleet.", "coordinators 2"},
 	{"instance", "self", whole, nil, 0, 999, "0", "self", "This one's number among them, from 0.", "self 1"},
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -30,6 +30,7 @@
 type Fleet struct {
 	clock   *loop.Clock
 	dir     string
+	serve   []string
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	list    *loop.Loop
@@ -44,7 +45,7 @@
   zone a
   listen %s
   list-service %s
-  state -
+  state %s
   streams 20000
 fleet
   zones a
@@ -76,7 +77,12 @@
 // Start brings a fleet up: serve is the command that runs a coordinator with a settings file added. rate is RPCs a
 // second of each front end; at 0 the list's servers are only names, and none is run.
 func Start(ctx context.Context, serve []string, servers, fronts int, rate float64) (f *Fleet, err error) {
-	f = &Fleet{clock: loop.NewClock(), ended: make(chan struct{})}
+	return start(ctx, serve, servers, fronts, rate, "-")
+}
+
+// start is Start with a state folder, within the fleet's own.
+func start(ctx context.Context, serve []string, servers, fronts int, rate float64, state string) (f *Fleet, err error) {
+	f = &Fleet{clock: loop.NewClock(), serve: serve}
 	defer func() {
 		if err != nil {
 			f.Stop()
@@ -110,7 +116,7 @@
 	}
 	at := fmt.Sprintf("127.0.0.1:%d", 12000+os.Getpid()%15000)
 	file := filepath.Join(f.dir, "c0.conf")
-	text := fmt.Sprintf(settings, at, f.list.Addrs()[0], fronts)
+	text := fmt.Sprintf(settings, at, f.list.Addrs()[0], state, fronts)
 	if err = os.WriteFile(file, []byte(text), 0o644); err != nil {
 		return f, err
 	}
@@ -118,12 +124,9 @@
 	if err != nil {
 		return f, err
 	}
-	f.cmd = exec.Command(serve[0], append(slices.Clone(serve[1:]), file)...)
-	f.cmd.Stderr = io.Discard
-	if err = f.cmd.Start(); err != nil {
+	if err = f.exec(); err != nil {
 		return f, err
 	}
-	go func() { _ = f.cmd.Wait(); close(f.ended) }()
 	proxies := standin.NewCrowd()
 	for i := range fronts {
 		proxies.Add(fmt.Sprint("f", i), standin.NewFrontEnd(standin.FrontTrade{Name: fmt.Sprint("f", i), Zone: "a", Coordinators: []string{at}, Rate: rate,
@@ -133,6 +136,19 @@
 	return f, err
 }
 
+// exec starts the coordinator's process.
+func (f *Fleet) exec() error {
+	f.cmd = exec.Command(f.serve[0], append(slices.Clone(f.serve[1:]), filepath.Join(f.dir, "c0.conf"))...)
+	f.cmd.Stderr = io.Discard
+	if err := f.cmd.Start(); err != nil {
+		return fmt.Errorf("start a coordinator: %w", err)
+	}
+	cmd, ended := f.cmd, make(chan struct{})
+	f.ended = ended
+	go func() { _ = cmd.Wait(); close(ended) }()
+	return nil
+}
+
 func (f *Fleet) note(all []trace.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,7 +167,7 @@
 			_ = l.Wait()
 		}
 	}
-	if f.cmd != nil && f.cmd.Process != nil {
+	if f.ended != nil {
 		_ = f.cmd.Process.Signal(syscall.SIGTERM)
 		<-f.ended
 	}
@@ -248,6 +264,11 @@
 // Run takes the figures named (drains, joins, idle; none: all) and prints them as a page's tables.
 func Run(ctx context.Context, out io.Writer, serve []string, which []string, picture io.Writer) error {
 	all := len(which) == 0
+	if all || slices.Contains(which, "store") {
+		if err := Store(ctx, out, serve); err != nil {
+			return err
+		}
+	}
 	if all || slices.Contains(which, "drains") {
 		fmt.Fprintln(out, "| servers | front ends | drains | median ms | 99th ms | worst ms | worst, of a grace of 2.1 s | RPCs sent meanwhile |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
 		for _, size := range [][2]int{{50, 100}, {100, 300}, {300, 800}} {
