--- a/compare/store_test.go
+++ b/compare/store_test.go
@@ -250,6 +250,32 @@
 			if err := k.close(); err != nil {
 				t.Fatal(err)
 			}
+			// A crash: the files as they stand, opened elsewhere.
+			for _, n := range []int{1000, 10000} {
+				dir := filepath.Join(base, fmt.Sprint("crash", n))
+				k := openKV(t, kind, dir, 64)
+				var all sync.WaitGroup
+				for w := range 64 {
+					all.Add(1)
+					go func() {
+						defer all.Done()
+						for i := w; i < n; i += 64 {
+							if err := k.commit([][2]string{{fmt.Sprintf("server/%04d", i%1000), value}, {fmt.Sprintf("proxy/%d", i%300), value}}); err != nil {
+								t.Error(err)
+							}
+						}
+					}()
+				}
+				all.Wait()
+				if err := os.CopyFS(dir+"x", os.DirFS(dir)); err != nil {
+					t.Fatal(err)
+				}
+				begin = time.Now()
+				left := openKV(t, kind, dir+"x", 1)
+				x.note(fmt.Sprintf("open after a crash, %d batches, ms", n), kind, 1e3*time.Since(begin).Seconds())
+				_ = left.close()
+				_ = k.close()
+			}
 		}
 	}
 	t.Log(x.String())
