--- a/cmd/gingerfork/check.go
+++ b/cmd/gingerfork/check.go
@@ -24,6 +24,11 @@
 			continue
 		}
 		fmt.Fprintf(p.out, "%s: good\n", f)
+		if t, err := bootstrap.Read(f); err == nil {
+			for _, h := range t.Hints() {
+				fmt.Fprintf(p.err, "%s: a doubt: %s\n", f, h)
+			}
+		}
 	}
 	if failed > 0 {
 		return badError{fmt.Errorf("%d of %d files are bad", failed, len(c.Files))}
--- a/cmd/gingerfork/serve.go
+++ b/cmd/gingerfork/serve.go
@@ -38,6 +38,10 @@
 // Run serves all files, or none: one that can't be served at the start ends the others. Later a coordinator that fails
 // takes only itself out; the process ends, with its error, once none is left.
 func (c serveCmd) Run(p *program, ctx context.Context) error {
+	// Before anything is started or said: a SIGHUP that comes while we start must not end the process.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
 	trades, err := c.read()
 	if err != nil {
 		return badError{err}
@@ -55,9 +59,6 @@
 		}
 		all = append(all, s)
 	}
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
-	defer signal.Stop(again)
 	ended := make(chan error)
 	for _, s := range all {
 		go func() { ended <- s.wait() }()
