Read-through: forgotten proxies' records, results named by build, doubts in a module

Read once more. A program without a commit took another build's finished runs for its own; results carry its checksum now. The tuned value of the join doubt stood with the settings; internal/doubts has it. Drained servers are gathered once for all that join.

--- a/cmd/gingerfork/check.go
+++ b/cmd/gingerfork/check.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"gingerfork/internal/bootstrap"
+	"gingerfork/internal/doubts"
 	"gingerfork/internal/rehearse"
 )
 
@@ -25,7 +26,7 @@
 		}
 		fmt.Fprintf(p.out, "%s: good\n", f)
 		if t, err := bootstrap.Read(f); err == nil {
-			for _, h := range t.Hints() {
+			for _, h := range doubts.Of(t.Coordinator(0)) {
 				fmt.Fprintf(p.err, "%s: a doubt: %s\n", f, h)
 			}
 		}
--- a/cmd/gingerfork/experiment.go
+++ b/cmd/gingerfork/experiment.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gingerfork/internal/bootstrap"
 	"gingerfork/internal/experiment"
 	"gingerfork/internal/rehearse"
@@ -56,7 +60,10 @@
 	if workers == 0 {
 		workers = runtime.NumCPU()
 	}
-	commit, _ := revision()
+	commit, err := build()
+	if err != nil {
+		return err
+	}
 	line := newLive(p.out)
 	var mu sync.Mutex
 	shown := time.Time{}
@@ -94,6 +101,39 @@
 	return nil
 }
 
+// build names the program that plays: its commit, or a checksum of itself where it carries none or was built of changed
+// files. Runs of another are not taken for its own.
+func build() (string, error) {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		commit, changed := "", false
+		for _, s := range info.Settings {
+			switch s.Key {
+			case "vcs.revision":
+				commit = s.Value
+			case "vcs.modified":
+				changed = s.Value == "true"
+			}
+		}
+		if commit != "" && !changed {
+			return commit, nil
+		}
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return "", fmt.Errorf("find this program, to name it in results: %w", err)
+	}
+	f, err := os.Open(exe)
+	if err != nil {
+		return "", fmt.Errorf("read this program, to name it in results: %w", err)
+	}
+	defer f.Close()
+	h := xxhash.New()
+	if _, err := io.Copy(h, f); err != nil {
+		return "", fmt.Errorf("read this program, to name it in results: %w", err)
+	}
+	return fmt.Sprintf("build-%016x", h.Sum64()), nil
+}
+
 type experimentCompareCmd struct {
 	Old     string   `arg:"" help:"The settings as they are."`
 	New     string   `arg:"" help:"The settings to try."`
--- a/cmd/gingerfork/store.go
+++ b/cmd/gingerfork/store.go
@@ -15,23 +15,29 @@
 	Compact storeCompactCmd `cmd:"" help:"Write a store anew, as small as it can be; no coordinator may own it. Example: gingerfork store compact /var/lib/gingerfork/store"`
 }
 
+// look reads the store in a folder without changing anything.
+func look(dir string) (*disk.Real, *store.Salvage, error) {
+	d, err := disk.OpenReal(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	got, err := store.Check(d)
+	if err == nil && got.Fresh {
+		err = fmt.Errorf("there is no store in %s", dir)
+	}
+	return d, got, err
+}
+
 type storeCheckCmd struct {
 	Dir    string `arg:"" help:"The store's folder."`
 	Repair bool   `help:"Keep what can be read, and put the damaged files aside."`
 }
 
 func (c storeCheckCmd) Run(p *program) error {
-	d, err := disk.OpenReal(c.Dir)
+	d, got, err := look(c.Dir)
 	if err != nil {
 		return badError{err}
 	}
-	got, err := store.Check(d)
-	if err != nil {
-		return badError{err}
-	}
-	if got.Fresh {
-		return badError{fmt.Errorf("there is no store in %s", c.Dir)}
-	}
 	for _, f := range got.Files {
 		fmt.Fprintf(p.out, "%-16s %10d bytes %6d frames  %s\n", f.Name, f.Bytes, f.Frames, f.State)
 	}
@@ -60,11 +66,7 @@
 }
 
 func (c storeDumpCmd) Run(p *program) error {
-	d, err := disk.OpenReal(c.Dir)
-	if err != nil {
-		return badError{err}
-	}
-	got, err := store.Check(d)
+	_, got, err := look(c.Dir)
 	if err != nil {
 		return badError{err}
 	}
@@ -84,15 +86,10 @@
 }
 
 func (c storeCompactCmd) Run(p *program) error {
-	d, err := disk.OpenReal(c.Dir)
+	d, _, err := look(c.Dir)
 	if err != nil {
 		return badError{err}
 	}
-	if got, err := store.Check(d); err != nil {
-		return badError{err}
-	} else if got.Fresh {
-		return badError{fmt.Errorf("there is no store in %s", c.Dir)}
-	}
 	s, _, err := store.Open(store.Bootstrap{Folder: d})
 	if err != nil {
 		return badError{err}
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -444,19 +444,26 @@
 // they hold of an earlier stream stays in force, they would go on sending there. A withdrawal is a standing order to
 // all that are joined, whenever they joined; a table carries its own.
 func (c *Core) shutOut() {
+	var all []choice.EP
+	gathered := false // once for all, and only if any has no table
 	for _, id := range c.fresh {
 		s := c.streams[id]
 		if s == nil || len(s.binds) > 0 {
 			continue
 		}
-		// What the list took out of use before a restart, too: the module, which was not there, orders nothing for it.
-		all := c.keep.Drained()
-		for ep := range c.shut {
-			all = append(all, ep)
+		if !gathered {
+			// What the list took out of use before a restart, too: the module, which was not there, orders nothing for it.
+			gathered, all = true, c.keep.Drained()
+			for ep := range c.shut {
+				all = append(all, ep)
+			}
+			slices.Sort(all)
+			all = slices.Compact(all)
 		}
-		slices.Sort(all)
-		all = slices.DeleteFunc(slices.Compact(all), func(ep choice.EP) bool { return s.shut[ep] })
 		for _, ep := range all {
+			if s.shut[ep] {
+				continue
+			}
 			s.shut[ep] = true
 			c.add(s, proto.Op{Kind: proto.OpWithdraw, Withdrawn: []proto.EP{proto.EP(ep)}}, 1)
 		}
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -147,6 +147,7 @@
 	opened     bool // the first lot is durable, or nobody waits for it any more
 
 	proxies  map[string]Proxy
+	absent   map[string]bool // of the last run, and not seen in this one
 	changed  map[string]bool
 	flushed  choice.Seconds
 	settings string
@@ -154,13 +155,16 @@
 
 // New makes one that goes on from what was kept; nil: nothing is to be kept.
 func New(now choice.Seconds, k *Kept) *Keeper {
-	x := &Keeper{at: map[string]int{}, drains: map[choice.EP]Drain{}, proxies: map[string]Proxy{}, changed: map[string]bool{}, began: now, flushed: now}
+	x := &Keeper{at: map[string]int{}, drains: map[choice.EP]Drain{}, proxies: map[string]Proxy{}, absent: map[string]bool{}, changed: map[string]bool{}, began: now, flushed: now}
 	if k == nil {
 		x.off, x.opened, x.next = true, true, 1
 		return x
 	}
 	maps.Copy(x.drains, k.Drains)
 	maps.Copy(x.proxies, k.Proxies)
+	for name := range k.Proxies {
+		x.absent[name] = true
+	}
 	x.settings = k.Settings
 	x.next = max(k.Marks, 1)
 	x.setAside()
@@ -242,6 +246,7 @@
 
 // Sent: a push with this mark left for a proxy.
 func (k *Keeper) Sent(name string, mark uint64) {
+	delete(k.absent, name)
 	if p := k.proxies[name]; !k.off && mark > p.Flight {
 		p.Flight = mark
 		k.proxies[name], k.changed[name] = p, true
@@ -261,6 +266,7 @@
 	if _, known := k.proxies[name]; known {
 		delete(k.proxies, name)
 		delete(k.changed, name)
+		delete(k.absent, name)
 		k.put(proxyKey+name, nil)
 	}
 }
@@ -280,6 +286,12 @@
 	if k.off {
 		return nil, 0
 	}
+	if len(k.absent) > 0 && now > k.began+2*choice.KeepPlace {
+		// They went while nobody looked, and nobody else will tell of it: their records would stay for good.
+		for _, name := range slices.Sorted(maps.Keys(k.absent)) {
+			k.Forget(name)
+		}
+	}
 	if len(k.changed) > 0 && now >= k.flushed+flushEvery {
 		k.flushed = now
 		for _, name := range slices.Sorted(maps.Keys(k.changed)) {
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -145,3 +145,22 @@
 		t.Error("other settings were not told, or the same were")
 	}
 }
+
+// A proxy that went while the coordinator was down is forgotten like one that left; one that came back is not.
+func TestProxiesThatNeverCameBack(t *testing.T) {
+	k := New(50, &Kept{Proxies: map[string]Proxy{"gone": {1, 1}, "back": {1, 1}}})
+	k.Sent("back", k.Mark())
+	k.Take(51)
+	var removed []string
+	for now := 52.0; now < 60+2*choice.KeepPlace; now += 100 {
+		puts, _ := k.Take(now)
+		for _, p := range puts {
+			if p.Value == nil {
+				removed = append(removed, p.Key)
+			}
+		}
+	}
+	if strings.Join(removed, " ") != "proxy/gone" {
+		t.Errorf("removed %q", removed)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -425,7 +425,7 @@
 	s.queue = s.queue[n:]
 	s.gate.Unlock()
 	s.write(group)
-	if last := group[len(group)-1]; last.err == nil || slices.ContainsFunc(group, func(x *waiter) bool { return x.err == nil }) {
+	if slices.ContainsFunc(group, func(x *waiter) bool { return x.err == nil }) {
 		if err := s.Sync(); err != nil {
 			for _, x := range group {
 				if x.err == nil {
