--- a/cmd/gingerfork/main.go
+++ b/cmd/gingerfork/main.go
@@ -27,6 +27,7 @@
 	LogLevel  string `help:"The least level logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info" placeholder:"LEVEL"`
 
 	Serve      serveCmd      `cmd:"" help:"Run a coordinator for each file until SIGTERM; SIGHUP reads the files again. Example: gingerfork serve perth.conf"`
+	Node       nodeCmd       `cmd:"" help:"Run one coordinator on the operators' platform, told by NODE_NAME, NODE_LISTEN, NODE_DISCOVERY and NODE_CONFIG; SIGHUP reads the configuration again."`
 	Check      checkCmd      `cmd:"" help:"Check settings files and days, and report every fault. Example: gingerfork check perth.conf evening.day"`
 	Rehearse   rehearseCmd   `cmd:"" help:"Play scripted days against real coordinators and judge the rules. Example: gingerfork rehearse evening"`
 	Experiment experimentCmd `cmd:"" help:"Try settings, sizes and troubles over a grid of days in virtual time."`
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -33,7 +33,10 @@
 	// MostOut bounds the bytes that wait for a reader that does not read; one past it is cut off. 0: 4 MiB
 	MostOut int
 	// MostIn bounds the bytes that wait for the machine; past it nothing is read from anybody. 0: 64 MiB
-	MostIn      int
+	MostIn int
+	// MostConns bounds the connections that stand at once, dialled ones too; past it none is accepted before one ends. The
+	// machine ends those that it likes least: it must begin with that before. 0: unbounded
+	MostConns   int
 	DialTimeout time.Duration // 0: 5 s
 	Log         *slog.Logger  // nil: none
 	Trace       func([]trace.Record)
@@ -83,6 +86,7 @@
 	room    *sync.Cond
 	box     []mail
 	held    int // bytes in box
+	conns   int // that stand or are being dialled
 	figures Figures
 	nextIn  machine.Conn
 	over    bool
@@ -226,15 +230,28 @@
 		}
 		wait = time.Millisecond
 		l.mu.Lock()
+		for l.boot.MostConns > 0 && l.conns >= l.boot.MostConns && !l.over {
+			l.room.Wait()
+		}
+		l.conns++
 		l.nextIn++
 		p := &peer{id: l.nextIn, door: door}
 		l.mu.Unlock()
 		if _, err = l.client.EnrollContext(c, p); err != nil {
+			l.less()
 			l.refuse("enroll", err)
 		}
 	}
 }
 
+// less counts a connection that ended.
+func (l *Loop) less() {
+	l.mu.Lock()
+	l.conns--
+	l.room.Broadcast()
+	l.mu.Unlock()
+}
+
 func (l *Loop) refuse(what string, err error) {
 	l.mu.Lock()
 	l.figures.Refused++
@@ -256,6 +273,7 @@
 		_, err = l.client.EnrollContext(c, p)
 	}
 	if err != nil {
+		l.less()
 		why := "can't be reached"
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			why = "refused"
@@ -404,6 +422,9 @@
 		if a.Kind == machine.Dial {
 			p := &peer{id: a.Conn}
 			l.peers[a.Conn] = p
+			l.mu.Lock()
+			l.conns++
+			l.mu.Unlock()
 			l.work.Add(1)
 			go l.dial(p, a.Addr)
 			continue
@@ -534,6 +555,7 @@
 
 func (h *handler) OnClose(c gnet.Conn, err error) gnet.Action {
 	if p, ok := c.Context().(*peer); ok {
+		h.l.less()
 		why := "closed by the other side"
 		if p.refused {
 			why = "it did not read what was sent"
--- /dev/null
+++ b/internal/platform/discovery.go
@@ -0,0 +1,190 @@
+package platform
+
+import (
+	"fmt"
+	"net/http"
+
+	"gingerfork/choice"
+	"gingerfork/internal/machine"
+)
+
+// caller speaks with discovery: one call at a time, on one connection that is kept. A watch that the module orders
+// begins with a call that does not wait, which shows at once that discovery answers, and what was missed; from then on
+// calls that wait follow each other, until one fails. When to try again is the module's to say.
+type caller struct {
+	m       *Machine
+	addr    string
+	conn    machine.Conn // 0: none
+	up      bool         // it stands
+	calling bool         // a call is under way, or about to be
+	asked   bool         // the call was written
+	waits   bool         // it is one that may wait
+	whole   bool         // it asks for the whole list
+	fetch   bool         // the module asked for the whole list meanwhile
+	due     machine.Seconds
+	answer  answer
+}
+
+// span is how long a waiting call waits: well inside the time after which we would count as told.
+func (d *caller) span() machine.Seconds { return d.m.boot.Module.Num("ask_within", 10) / 2 }
+
+// patience is how long an answer may take beyond what the call waits.
+func (d *caller) patience() machine.Seconds { return d.m.boot.Module.Num("ask_within", 10) / 5 }
+
+func (d *caller) watch(now machine.Seconds, out *machine.Out) {
+	if !d.calling {
+		d.call(now, false, !d.m.roll.held, out)
+		return
+	}
+	if d.waits { // it stands already
+		d.m.events = append(d.m.events, choice.Listed{Kind: choice.ListDelta, Version: d.m.roll.version})
+	}
+}
+
+func (d *caller) fetchAll(now machine.Seconds, out *machine.Out) {
+	if d.calling && !d.waits {
+		d.fetch = true
+		return
+	}
+	d.drop(out)
+	d.call(now, false, true, out)
+}
+
+func (d *caller) call(now machine.Seconds, waits, whole bool, out *machine.Out) {
+	d.calling, d.asked, d.waits, d.whole = true, false, waits, whole
+	d.due = now + d.patience()
+	d.answer.reset()
+	if d.conn == 0 {
+		d.conn, d.up = d.m.dial(d.addr, out), false
+		d.m.sessions[d.conn] = &session{conn: d.conn, role: listRole}
+	}
+	if d.up {
+		d.ask(now, out)
+	}
+}
+
+func (d *caller) ask(now machine.Seconds, out *machine.Out) {
+	d.asked = true
+	path := "/api/targets"
+	d.due = now + d.patience()
+	if !d.whole {
+		wait := 0.0
+		if d.waits {
+			wait = d.span()
+			d.due += wait
+		}
+		path = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, d.m.roll.version, int(wait*1000))
+	}
+	out.Write(d.conn, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, d.addr))
+}
+
+func (d *caller) opened(now machine.Seconds, out *machine.Out) {
+	d.up = true
+	if d.calling {
+		d.ask(now, out)
+	}
+}
+
+// data takes bytes of an answer; ended tells that the connection ended.
+func (d *caller) data(now machine.Seconds, b []byte, ended bool, why string, out *machine.Out) {
+	if ended {
+		d.conn, d.up = 0, false
+	}
+	if !d.calling || !d.asked {
+		if d.calling && ended {
+			d.fail(now, "can't be reached: "+why, out)
+		} else if !ended && len(b) > 0 {
+			d.drop(out) // what nobody asked for
+		}
+		return
+	}
+	if ended && len(d.answer.buf) == 0 {
+		d.fail(now, "the connection ended: "+why, out)
+		return
+	}
+	status, body, reuse, whole, err := d.answer.feed(b, ended)
+	switch {
+	case err != nil:
+		d.fail(now, err.Error(), out)
+	case !whole:
+	case status != http.StatusOK:
+		if !reuse {
+			d.drop(out)
+		}
+		d.failed(now, fmt.Sprintf("status %d", status), out)
+	default:
+		if !reuse {
+			d.drop(out)
+		}
+		l, err := parseList(body)
+		if err != nil {
+			d.failed(now, err.Error(), out)
+			return
+		}
+		d.took(now, l, out)
+	}
+}
+
+func (d *caller) took(now machine.Seconds, l *list, out *machine.Out) {
+	first := !d.waits
+	listed, err := d.m.roll.news(now, l)
+	if err != nil {
+		d.failed(now, err.Error(), out)
+		return
+	}
+	if d.m.lost["discovery"] > 0 {
+		out.Log(1, "discovery answers again", "failures", d.m.lost["discovery"], "version", *l.Seq)
+		delete(d.m.lost, "discovery")
+	}
+	if first || len(listed.Entries) > 0 || listed.Kind == choice.ListFull {
+		d.m.events = append(d.m.events, listed)
+	}
+	fetch := d.fetch
+	d.fetch = false
+	d.call(now, !fetch, fetch, out)
+}
+
+// fail ends the call, and the connection, of which nothing can be expected any more.
+func (d *caller) fail(now machine.Seconds, why string, out *machine.Out) {
+	d.drop(out)
+	d.failed(now, why, out)
+}
+
+func (d *caller) failed(now machine.Seconds, why string, out *machine.Out) {
+	d.calling, d.fetch = false, false
+	d.answer.reset()
+	d.m.events = append(d.m.events, choice.Listed{Kind: choice.ListFailed})
+	d.m.often(out, "discovery", 2, "a call to discovery failed", "addr", d.addr, "why", why)
+}
+
+func (d *caller) drop(out *machine.Out) {
+	if d.conn != 0 {
+		out.Kill(d.conn)
+		delete(d.m.sessions, d.conn)
+		d.conn, d.up = 0, false
+	}
+}
+
+// move goes on at another address. What is held stays, and so does what a call that was under way would have told: the
+// first call at the new address asks for all since.
+func (d *caller) move(now machine.Seconds, addr string, out *machine.Out) {
+	if addr == d.addr {
+		return
+	}
+	d.drop(out)
+	d.addr = addr
+	if d.calling {
+		d.call(now, false, !d.m.roll.held, out)
+	}
+}
+
+func (d *caller) sweep(now machine.Seconds, out *machine.Out) {
+	if !d.calling {
+		return
+	}
+	if now >= d.due {
+		d.fail(now, "no answer in time", out)
+		return
+	}
+	out.At(d.due)
+}
--- /dev/null
+++ b/internal/platform/orders.go
@@ -0,0 +1,182 @@
+package platform
+
+import (
+	"slices"
+
+	"gingerfork/choice"
+	"gingerfork/internal/fanout"
+	"gingerfork/internal/platform/line"
+)
+
+// stream is a joined proxy's.
+type stream struct {
+	session  *session
+	follower *fanout.Follower
+	proxy    choice.Proxy
+	zone     choice.Zone
+	rate     float64       // RPCs a second that it usually gets, as it said
+	marks    []choice.Mark // sent on this stream and not answered, oldest first
+	// told has what the proxy was told on this stream of servers shut out (true) and let in (false). Withdrawals stay with
+	// a proxy across streams, and other coordinators order them too: of what is not here nothing is known, unless it came
+	// with nothing (pristine).
+	told     map[choice.EP]bool
+	pristine bool
+}
+
+// mostMarks bounds what is kept of marks that a proxy does not answer.
+const mostMarks = 256
+
+// sheet is what a message does to one table.
+type sheet struct {
+	table   choice.Table
+	methods uint64
+	whole   bool
+	lines   []fanout.Entry
+	levels  []fanout.Gate
+}
+
+func (s *sheet) set(e fanout.Entry) {
+	if at := slices.IndexFunc(s.lines, func(x fanout.Entry) bool { return x.EP == e.EP }); at >= 0 {
+		s.lines[at] = e
+		return
+	}
+	s.lines = append(s.lines, e)
+}
+
+func (s *sheet) gate(g fanout.Gate) {
+	s.levels = slices.DeleteFunc(s.levels, func(x fanout.Gate) bool { return x.Methods == g.Methods })
+	s.levels = append(s.levels, g)
+}
+
+// parts makes the platform's message of what a step orders of a proxy: of each line, level and server the last word
+// only, as all of it takes effect at once.
+func (m *Machine) parts(s *stream, ops []fanout.Op, mark *choice.Mark) []line.Part {
+	var sheets []*sheet
+	var turned []choice.EP // in the order of their last word
+	turn := func(ep choice.EP, out bool) {
+		was, known := s.told[ep]
+		if known && was == out || !known && !out && s.pristine {
+			return
+		}
+		s.told[ep] = out
+		turned = append(slices.DeleteFunc(turned, func(x choice.EP) bool { return x == ep }), ep)
+	}
+	at := func(op fanout.Op) *sheet {
+		for _, x := range sheets {
+			if x.table == op.Table {
+				return x
+			}
+		}
+		x := &sheet{table: op.Table, methods: op.Methods}
+		sheets = append(sheets, x)
+		return x
+	}
+	for _, op := range ops {
+		switch op.Kind {
+		case fanout.Line:
+			x := at(op)
+			for _, e := range op.Lines {
+				x.set(e)
+			}
+		case fanout.Clear:
+			x := at(op)
+			x.whole, x.lines, x.levels = true, nil, nil
+		case fanout.Bind:
+			x := at(op)
+			x.whole, x.methods = true, op.Methods
+			x.lines, x.levels = slices.Clone(op.Lines), slices.Clone(op.Levels)
+		case fanout.Level:
+			x := at(op)
+			for _, g := range op.Levels {
+				x.gate(g)
+			}
+		case fanout.Withdraw:
+			for _, ep := range op.EPs {
+				turn(ep, true)
+			}
+		case fanout.Readmit:
+			for _, ep := range op.EPs {
+				turn(ep, false)
+			}
+		}
+	}
+	var parts []line.Part
+	for _, x := range sheets {
+		p := line.Part{Methods: m.named(x.methods), Whole: x.whole}
+		for _, e := range x.lines {
+			if e.Weight > 0 {
+				turn(e.EP, e.Shut)
+			}
+			if srv := m.roll.servers[e.EP]; srv != nil && !(x.whole && e.Weight <= 0) {
+				p.Lines = append(p.Lines, line.Weight{Server: srv.name, Weight: e.Weight})
+			}
+		}
+		gates := m.gather(x.levels)
+		if len(gates) > 0 && m.all(gates[0].Methods) == m.all(x.methods) {
+			p.Gated, p.Level, p.Tries = true, gates[0].Level, int(gates[0].Tries)
+			gates = gates[1:]
+		}
+		if p.Whole || len(p.Lines) > 0 || p.Gated {
+			parts = append(parts, p)
+		}
+		for _, g := range gates {
+			parts = append(parts, line.Part{Methods: m.named(g.Methods), Gated: true, Level: g.Level, Tries: int(g.Tries)})
+		}
+	}
+	if len(turned) > 0 || len(parts) == 0 {
+		if len(parts) == 0 {
+			parts = append(parts, line.Part{})
+		}
+		last := &parts[len(parts)-1]
+		for _, ep := range turned {
+			srv := m.roll.servers[ep]
+			switch {
+			case srv == nil:
+			case s.told[ep]:
+				last.Out = append(last.Out, srv.name)
+			default:
+				last.Back = append(last.Back, srv.name)
+			}
+		}
+	}
+	if mark != nil {
+		last := &parts[len(parts)-1]
+		last.Marked, last.Mark = true, int(*mark)
+	}
+	return parts
+}
+
+// gather joins levels that say the same of different methods.
+func (m *Machine) gather(levels []fanout.Gate) (all []fanout.Gate) {
+	for _, g := range levels {
+		at := slices.IndexFunc(all, func(x fanout.Gate) bool { return x.Level == g.Level && x.Tries == g.Tries })
+		if at < 0 {
+			all = append(all, fanout.Gate{Methods: m.all(g.Methods), Level: g.Level, Tries: g.Tries})
+		} else {
+			all[at].Methods |= m.all(g.Methods)
+		}
+	}
+	return all
+}
+
+// all gives the bits of every method for 0, which means that.
+func (m *Machine) all(methods uint64) uint64 {
+	every := uint64(1)<<len(m.methods) - 1
+	if methods == 0 {
+		return every
+	}
+	return methods & every
+}
+
+// named gives the methods' names, none if all are meant.
+func (m *Machine) named(methods uint64) (names []string) {
+	if every := uint64(1)<<len(m.methods) - 1; m.all(methods) == every {
+		return nil
+	}
+	for i, name := range m.methods {
+		if methods>>i&1 == 1 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,562 @@
+// Package platform is a coordinator as the operators' platform runs one: an instance of the decision module behind the
+// platform's protocol. It is one more front beside package coordinator's, on the same loop and the same fan-out of
+// orders. It does not pace what it sends, nor sum what it hears: the platform's channel and collectors do both, and the
+// module reckons with theirs. docs/platform.md tells the rest.
+package platform
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"runtime/debug"
+	"slices"
+
+	"gingerfork/choice"
+	"gingerfork/internal/fanout"
+	"gingerfork/internal/machine"
+	"gingerfork/internal/platform/line"
+)
+
+// Bootstrap is what a coordinator on the platform is started with.
+type Bootstrap struct {
+	Name      string
+	Discovery string // address
+	Module    choice.Bootstrap
+	Known     []byte // the list as last held, in discovery's form; none: nothing was
+	// MostConns is how many connections may stand at once; past it strangers make room for who comes.
+	MostConns  int
+	MostProbes int             // at once
+	MostAnswer int             // bytes of an HTTP answer
+	Handshake  machine.Seconds // within which a connection must have joined
+}
+
+type role uint8
+
+const (
+	stranger role = iota // it has not joined
+	proxyRole
+	collectorRole
+	listRole
+	probeRole
+)
+
+// session is one connection.
+type session struct {
+	conn   machine.Conn
+	role   role
+	opened machine.Seconds
+	reader line.Reader
+	stream *stream
+	probe  *probe
+}
+
+// Machine is the coordinator.
+type Machine struct {
+	boot     Bootstrap
+	planner  *choice.Planner
+	book     *fanout.Book
+	roll     *roll
+	list     caller
+	probes   prober
+	sessions map[machine.Conn]*session
+	strange  []*session // that have not joined, oldest first; others among them are passed over
+	streams  []*stream  // by proxy, nil where none is joined
+	methods  []string
+	zones    map[string]bool
+	soft     machine.Seconds // the shortest soft deadline
+	round    machine.Seconds
+	dialled  machine.Conn
+
+	events  []choice.Event
+	alarm   machine.Seconds
+	ring    choice.Token
+	stepped machine.Seconds
+	failed  machine.Seconds // when the module last failed
+	moved   *Bootstrap      // what is to be in force from the next step on
+	lost    map[string]int  // troubles by kind, so that a storm of them makes few lines in the log
+	figures Figures
+}
+
+// Figures are counts since the start.
+type Figures struct {
+	Joins, Leaves, Superseded        int
+	Messages, Bytes                  int
+	Steps, Orders                    int
+	Refused, Evicted, Spoilt, Broken int
+	Stale                            int // answers to marks not in flight
+	Failures                         int // of the module
+	Streams                          int // joined now
+}
+
+// Figures gives the counts.
+func (m *Machine) Figures() Figures {
+	f := m.figures
+	for _, s := range m.streams {
+		if s != nil {
+			f.Streams++
+		}
+	}
+	return f
+}
+
+// New makes a coordinator. A list that was held and can't be read is an error; the coordinator is usable without it.
+func New(boot Bootstrap) (*Machine, error) {
+	m := &Machine{boot: boot, roll: newRoll(), sessions: map[machine.Conn]*session{}, dialled: machine.Dialled, lost: map[string]int{}}
+	m.list = caller{m: m, addr: boot.Discovery, answer: answer{most: boot.MostAnswer}}
+	m.probes = prober{m: m}
+	m.settle()
+	var err error
+	if len(boot.Known) > 0 {
+		var l *list
+		if l, err = parseList(boot.Known); err == nil {
+			_, err = m.roll.news(boot.Module.Now, l)
+		}
+	}
+	m.instance(boot.Module)
+	return m, err
+}
+
+// settle takes over what the settings say of methods, zones and proxies.
+func (m *Machine) settle() {
+	b := m.boot.Module
+	m.methods, m.zones, m.soft = nil, map[string]bool{}, math.Inf(1)
+	for i := range int(b.Num("method.n", 0)) {
+		m.methods = append(m.methods, b.Word(fmt.Sprintf("method.%d.name", i)))
+		m.soft = min(m.soft, b.Num(fmt.Sprintf("method.%d.soft_deadline", i), 1))
+	}
+	if math.IsInf(m.soft, 1) {
+		m.soft = 1
+	}
+	for i := range int(b.Num("zones.n", 0)) {
+		m.zones[b.Word(fmt.Sprintf("zones.%d", i))] = true
+	}
+	m.round = b.Num("tick", 0)
+	old := m.streams
+	m.streams = make([]*stream, min(max(int(b.Num("proxies", 0)), 0), 1<<16))
+	copy(m.streams, old)
+}
+
+// instance begins with a fresh instance of the module: from the list as held, and the streams that stand.
+func (m *Machine) instance(b choice.Bootstrap) {
+	m.planner, m.book = choice.New(b), fanout.New()
+	m.events, m.alarm, m.stepped = nil, b.Now, b.Now-m.round
+	if m.roll.held {
+		m.events = append(m.events, m.roll.kept(func(all []choice.Entry) {
+			slices.SortFunc(all, func(a, b choice.Entry) int { return cmp.Compare(a.EP, b.EP) })
+		}))
+	}
+	for _, s := range m.streams {
+		if s != nil {
+			s.follower, s.marks = m.book.Join(s.proxy), nil
+			m.events = append(m.events, choice.Joined{Proxy: s.proxy, Zone: s.zone, Rate: s.rate})
+		}
+	}
+}
+
+// Renew puts what was read anew in force with the next step. It must be called between steps.
+func (m *Machine) Renew(boot Bootstrap) { m.moved = &boot }
+
+// Step implements machine.Machine.
+func (m *Machine) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
+	m.renew(now, out)
+	for _, i := range in {
+		m.input(now, i, out)
+	}
+	m.sweep(now, out)
+	if due := now >= m.alarm; due || len(m.events) > 0 && now >= m.stepped+m.round {
+		if due {
+			m.events = append(m.events, choice.Due{Token: m.ring})
+			m.alarm = now + 3600
+		}
+		m.decide(now, out)
+	}
+	if len(m.events) > 0 {
+		out.At(m.stepped + m.round)
+	}
+	out.At(m.alarm)
+	m.roll.tidy(now)
+	// Whatever asks, the next step is not at this very moment: it would be asked for again and again.
+	out.Wake = max(out.Wake, now+shortest)
+}
+
+const shortest machine.Seconds = 1e-4
+
+func (m *Machine) renew(now machine.Seconds, out *machine.Out) {
+	if m.moved == nil {
+		return
+	}
+	boot := *m.moved
+	m.moved = nil
+	if boot.Discovery != m.boot.Discovery {
+		out.Log(1, "discovery is elsewhere", "addr", boot.Discovery)
+		m.boot.Discovery = boot.Discovery
+		m.list.move(now, boot.Discovery, out)
+	}
+}
+
+func (m *Machine) dial(addr string, out *machine.Out) machine.Conn {
+	m.dialled++
+	out.Dial(m.dialled, addr)
+	return m.dialled
+}
+
+func (m *Machine) input(now machine.Seconds, i machine.Input, out *machine.Out) {
+	s := m.sessions[i.Conn]
+	switch i.Kind {
+	case machine.Opened:
+		switch {
+		case s == nil && i.Conn&machine.Dialled == 0:
+			m.accept(now, i.Conn, out)
+		case s != nil && s.role == listRole:
+			m.list.opened(now, out)
+		case s != nil && s.role == probeRole:
+			m.probes.opened(s, out)
+		}
+	case machine.Closed:
+		if s == nil {
+			return
+		}
+		delete(m.sessions, s.conn)
+		switch s.role {
+		case listRole:
+			m.list.data(now, nil, true, i.Text, out)
+		case probeRole:
+			m.probes.data(now, s, nil, true, out)
+		case proxyRole:
+			m.leave(s.stream)
+		}
+	case machine.Data:
+		if s == nil {
+			return
+		}
+		switch s.role {
+		case listRole:
+			m.list.data(now, i.Data, false, "", out)
+		case probeRole:
+			m.probes.data(now, s, i.Data, false, out)
+		default:
+			s.reader.Feed(i.Data)
+			m.read(now, s, out)
+		}
+	}
+}
+
+// firstLine is longer than any message of one who has not joined; a line of one who has may be longer by far.
+const (
+	firstLine = 512
+	lineMost  = 16 << 10
+)
+
+func (m *Machine) accept(now machine.Seconds, c machine.Conn, out *machine.Out) {
+	s := &session{conn: c, opened: now, reader: line.Reader{Most: firstLine}}
+	m.sessions[c] = s
+	m.strange = append(m.strange, s)
+	if len(m.sessions) <= m.boot.MostConns {
+		return
+	}
+	// Whoever has joined stays; the stranger that had the longest time to do so makes room.
+	for _, x := range m.strange {
+		if m.sessions[x.conn] == x && x.role == stranger {
+			m.figures.Evicted++
+			m.often(out, "evicted", 2, "connections are at their limit, a stranger made room", "limit", m.boot.MostConns)
+			delete(m.sessions, x.conn)
+			out.Kill(x.conn)
+			return
+		}
+	}
+}
+
+// sweep ends what takes too long.
+func (m *Machine) sweep(now machine.Seconds, out *machine.Out) {
+	n := 0
+	for _, s := range m.strange {
+		if m.sessions[s.conn] == s && s.role == stranger {
+			if now < s.opened+m.boot.Handshake {
+				out.At(s.opened + m.boot.Handshake)
+				break
+			}
+			m.refuse(s, "it did not join in time", out)
+		}
+		n++
+	}
+	if m.strange = m.strange[n:]; len(m.strange) == 0 {
+		m.strange = nil
+	}
+	m.list.sweep(now, out)
+	m.probes.sweep(now, out)
+}
+
+// read takes the messages that are whole. One that makes no sense is dropped alone; bytes that can't be read end the
+// connection.
+func (m *Machine) read(now machine.Seconds, s *session, out *machine.Out) {
+	for m.sessions[s.conn] == s {
+		msg, err := s.reader.Next()
+		if err == nil && msg == nil {
+			return
+		}
+		if err == nil {
+			err = m.message(now, s, msg, out)
+		}
+		var spoilt *line.Spoilt
+		switch sp, ok := err.(*line.Spoilt); {
+		case err == nil:
+			continue
+		case ok:
+			spoilt = sp
+		}
+		if spoilt != nil && s.role != stranger {
+			m.figures.Spoilt++
+			m.often(out, "spoilt "+spoilt.Kind, 2, "a message was dropped", "conn", uint64(s.conn), "why", err.Error())
+			continue
+		}
+		m.refuse(s, err.Error(), out)
+		return
+	}
+}
+
+// refuse says why and ends the connection; a stream has left with that.
+func (m *Machine) refuse(s *session, why string, out *machine.Out) {
+	delete(m.sessions, s.conn)
+	if s.role == stranger {
+		m.figures.Refused++
+		m.often(out, "refused", 1, "a connection was refused", "conn", uint64(s.conn), "why", why)
+		out.Write(s.conn, line.AppendReject(nil, why))
+		out.Close(s.conn)
+		return
+	}
+	m.figures.Broken++
+	who := "a collector's"
+	if s.role == proxyRole {
+		who = fmt.Sprintf("proxy %d's", s.stream.proxy)
+	}
+	m.often(out, "broken", 2, "a connection carried what can't be read and was ended", "conn", uint64(s.conn), "whose", who, "why", why)
+	out.Kill(s.conn)
+	if s.role == proxyRole {
+		m.leave(s.stream)
+	}
+}
+
+// often logs a kind of trouble each time that its number has doubled.
+func (m *Machine) often(out *machine.Out, kind string, level int, text string, pairs ...any) {
+	m.lost[kind]++
+	if n := m.lost[kind]; n&(n-1) == 0 {
+		out.Log(level, text, append(pairs, "times", n)...)
+	}
+}
+
+func spoilt(kind, format string, args ...any) error {
+	return &line.Spoilt{Kind: kind, Why: fmt.Sprintf(format, args...)}
+}
+
+// message takes one message. A *line.Spoilt error costs that message, or the connection of one who has not joined.
+func (m *Machine) message(now machine.Seconds, s *session, msg line.Message, out *machine.Out) error {
+	if _, ok := msg.(line.Beat); ok {
+		out.Write(s.conn, line.AppendBeat(nil))
+		return nil
+	}
+	if s.role == stranger {
+		switch x := msg.(type) {
+		case line.Collector:
+			if !m.zones[x.Zone] {
+				return spoilt("collector", "zone %.32q is not one of ours", x.Zone)
+			}
+			s.role, s.reader.Most = collectorRole, lineMost
+			out.Log(1, "collector joined", "zone", x.Zone)
+			return nil
+		case line.Join:
+			return m.join(now, s, x, out)
+		}
+		return spoilt("report", "it came before a joining")
+	}
+	switch x := msg.(type) {
+	case line.Answer:
+		if s.role != proxyRole || x.Proxy != int(s.stream.proxy) {
+			return spoilt("answer", "it is not from its proxy's stream")
+		}
+		m.answered(s.stream, x)
+		return nil
+	case line.Usage:
+		if s.role == proxyRole && x.Proxy != int(s.stream.proxy) {
+			return spoilt("usage", "it is of another proxy")
+		}
+		method := slices.Index(m.methods, x.Method)
+		if x.Proxy >= len(m.streams) || method < 0 {
+			return spoilt("usage", "proxy %d or method %.32q does not exist", x.Proxy, x.Method)
+		}
+		// Of a proxy that left, or that is joined elsewhere, it is no business of ours.
+		if m.streams[x.Proxy] != nil && x.RPCs > 0 {
+			m.events = append(m.events, choice.UsageSum{Proxy: choice.Proxy(x.Proxy), Method: choice.Method(method), RPCs: x.RPCs, Bad: x.Bad, Over: x.Over})
+		}
+		return nil
+	case line.Tries:
+		ep, ok := m.roll.numbers[x.Server]
+		switch {
+		case s.role != collectorRole:
+			return spoilt("tries", "they are not from a collector")
+		case !m.zones[x.Zone] || !ok:
+			return spoilt("tries", "zone %.32q or server %.32q does not exist", x.Zone, x.Server)
+		}
+		if x.Tries > 0 {
+			m.events = append(m.events, choice.TrySum{EP: ep, Zone: choice.Zone(x.Zone), Tries: x.Tries, Bad: x.Bad, Delay: x.Delay,
+				Over: x.Over, Load: m.load(x.Load)})
+		}
+		return nil
+	}
+	return spoilt("joining", "it is joined already")
+}
+
+func (m *Machine) load(figures []line.Figure) (all []float64) {
+	if len(figures) == 0 {
+		return nil
+	}
+	for i := range int(m.boot.Module.Num("Feedback.Columns.n", 0)) {
+		name, v := m.boot.Module.Word(fmt.Sprintf("Feedback.Columns.%d", i)), 0.0
+		for _, f := range figures {
+			if f.Name == name {
+				v = f.Value
+			}
+		}
+		all = append(all, v)
+	}
+	return all
+}
+
+func (m *Machine) join(now machine.Seconds, s *session, x line.Join, out *machine.Out) error {
+	if x.Proxy >= len(m.streams) || !m.zones[x.Zone] {
+		return spoilt("joining", "proxy %d or zone %.32q does not exist", x.Proxy, x.Zone)
+	}
+	if old := m.streams[x.Proxy]; old != nil {
+		// The older stream is a dead one whose end we have not seen; its late end must change nothing.
+		m.figures.Superseded++
+		delete(m.sessions, old.session.conn)
+		out.Kill(old.session.conn)
+		m.leave(old)
+	}
+	st := &stream{session: s, proxy: choice.Proxy(x.Proxy), zone: choice.Zone(x.Zone), rate: x.Rate, told: map[choice.EP]bool{}, pristine: x.Fresh}
+	st.follower = m.book.Join(st.proxy)
+	s.role, s.stream, s.reader.Most = proxyRole, st, lineMost
+	m.streams[x.Proxy] = st
+	m.figures.Joins++
+	m.events = append(m.events, choice.Joined{Proxy: st.proxy, Zone: st.zone, Rate: x.Rate, Fresh: x.Fresh})
+	return nil
+}
+
+func (m *Machine) leave(s *stream) {
+	if m.streams[s.proxy] != s {
+		return
+	}
+	m.streams[s.proxy] = nil
+	m.book.Leave(s.follower)
+	m.figures.Leaves++
+	m.events = append(m.events, choice.Left{Proxy: s.proxy})
+}
+
+// answered checks that the mark is in flight on this very stream. An answer tells of all that was sent before, too.
+func (m *Machine) answered(s *stream, x line.Answer) {
+	at := slices.Index(s.marks, choice.Mark(x.Mark))
+	if at < 0 {
+		m.figures.Stale++
+		return
+	}
+	s.marks = append(s.marks[:0], s.marks[at+1:]...)
+	m.events = append(m.events, choice.Answered{Proxy: s.proxy, Mark: choice.Mark(x.Mark), Delay: x.Delay})
+}
+
+// decide has the module take a step, and carries out what it orders.
+func (m *Machine) decide(now machine.Seconds, out *machine.Out) {
+	events := m.events
+	m.events = nil
+	m.stepped = now
+	m.figures.Steps++
+	orders, err := m.ask(now, events)
+	if err != nil {
+		m.restart(now, err, out)
+		return
+	}
+	m.figures.Orders += len(orders)
+	var mark *choice.SetMark
+	for _, o := range orders {
+		switch o := o.(type) {
+		case choice.SetMark:
+			mark = &o
+		case choice.Watch:
+			m.list.watch(now, out)
+		case choice.Fetch:
+			m.list.fetchAll(now, out)
+		case choice.Probe:
+			m.probes.order(o.EP)
+		case choice.Alarm:
+			// The module asks for one at a time and looks at the clock itself; the soonest serves them all.
+			if o.At < m.alarm {
+				m.alarm, m.ring = o.At, o.Token
+			}
+		case choice.Say:
+			out.Log(1, o.Text)
+		case choice.Tell: // the platform's coordinators have no way to each other
+		default:
+			if !m.book.Carry(o) {
+				m.often(out, "order", 3, "an order of unknown type", "type", fmt.Sprintf("%T", o))
+			}
+		}
+	}
+	if mark != nil && mark.All {
+		for f := range m.book.Joined() {
+			m.book.Touch(f)
+		}
+	}
+	messages, turns := m.book.Close(nil)
+	for _, x := range messages {
+		s := m.streams[x.To.Proxy]
+		if s == nil || s.follower != x.To {
+			continue
+		}
+		var with *choice.Mark
+		if mark != nil {
+			with = &mark.Mark
+			if s.marks = append(s.marks, *with); len(s.marks) > mostMarks {
+				s.marks = append(s.marks[:0], s.marks[1:]...)
+			}
+		}
+		b := line.Append(nil, m.parts(s, x.Ops, with))
+		m.figures.Messages++
+		m.figures.Bytes += len(b)
+		out.Write(s.session.conn, b)
+	}
+	for _, t := range turns {
+		text := "server let in again"
+		if t.Out {
+			text = "server withdrawn"
+		}
+		name := ""
+		if s := m.roll.servers[t.EP]; s != nil {
+			name = s.name
+		}
+		out.Log(1, text, "backend", name, "proxies", t.Proxies)
+	}
+	m.probes.next(now, out)
+	m.probes.sweep(now, out)
+	m.list.sweep(now, out)
+}
+
+// ask has the module take a step. That it fails must not end the process, which would leave every proxy alone.
+func (m *Machine) ask(now machine.Seconds, events []choice.Event) (orders []choice.Order, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("the decision module failed: %v\n%s", r, debug.Stack())
+		}
+	}()
+	return m.planner.Step(now, events), nil
+}
+
+// restart puts a fresh instance in the failed one's place; proxies keep what they hold until it has given them theirs.
+func (m *Machine) restart(now machine.Seconds, cause error, out *machine.Out) {
+	m.figures.Failures++
+	m.often(out, "failure", 3, "a fresh instance of the module begins", "cause", cause.Error())
+	b := m.boot.Module
+	b.Seed, b.Now = b.Seed+uint64(m.figures.Failures), now
+	m.instance(b)
+	if now < m.failed+1 { // it fails at once again: not in a tight loop
+		m.alarm, m.stepped = now+1, now+1
+	}
+	m.failed = now
+}
--- /dev/null
+++ b/internal/platform/probe.go
@@ -0,0 +1,108 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"gingerfork/choice"
+	"gingerfork/internal/machine"
+)
+
+// probe is one that is under way, on a connection of its own.
+type probe struct {
+	ep     choice.EP
+	began  machine.Seconds
+	addr   string
+	answer answer
+}
+
+// prober carries out the module's probes: a bounded number at once, each bounded in time.
+type prober struct {
+	m      *Machine
+	queue  []choice.EP
+	active []*session // by when they began
+}
+
+func (p *prober) order(ep choice.EP) {
+	// The module asks again for one that got lost here.
+	if len(p.queue) < 4*p.m.boot.MostProbes && !slices.Contains(p.queue, ep) {
+		p.queue = append(p.queue, ep)
+	}
+}
+
+func (p *prober) next(now machine.Seconds, out *machine.Out) {
+	for len(p.queue) > 0 && len(p.active) < p.m.boot.MostProbes {
+		ep := p.queue[0]
+		p.queue = p.queue[1:]
+		s := p.m.roll.servers[ep]
+		if s == nil || s.addr == "" {
+			continue
+		}
+		x := &session{conn: p.m.dial(s.addr, out), role: probeRole, probe: &probe{ep: ep, began: now, addr: s.addr, answer: answer{most: 1 << 14}}}
+		p.m.sessions[x.conn] = x
+		p.active = append(p.active, x)
+	}
+	if len(p.queue) == 0 {
+		p.queue = nil
+	}
+}
+
+func (p *prober) opened(s *session, out *machine.Out) {
+	path := "/-/healthy"
+	if w := p.m.boot.Module.Word("Feedback.Source"); w != "" && w != "none" {
+		path = "/-/load"
+	}
+	out.Write(s.conn, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, s.probe.addr))
+}
+
+func (p *prober) data(now machine.Seconds, s *session, b []byte, ended bool, out *machine.Out) {
+	status, body, _, whole, err := 0, []byte(nil), false, false, error(nil)
+	if len(s.probe.answer.buf)+len(b) > 0 {
+		status, body, _, whole, err = s.probe.answer.feed(b, ended)
+	}
+	switch {
+	case whole && err == nil:
+		// 503 says that it answers and has no room: what was not refused for that would not have been answered at all.
+		p.end(now, s, choice.Probed{OK: status == http.StatusOK, Busy: status == http.StatusServiceUnavailable, Load: p.load(body)}, ended, out)
+	case ended || err != nil:
+		p.end(now, s, choice.Probed{}, ended, out)
+	}
+}
+
+// load reads a report's figures in the order of the settings' columns.
+func (p *prober) load(body []byte) (all []float64) {
+	n := int(p.m.boot.Module.Num("Feedback.Columns.n", 0))
+	figures := map[string]float64{}
+	if n == 0 || json.Unmarshal(body, &figures) != nil {
+		return nil
+	}
+	for i := range n {
+		all = append(all, figures[p.m.boot.Module.Word(fmt.Sprintf("Feedback.Columns.%d", i))])
+	}
+	return all
+}
+
+func (p *prober) end(now machine.Seconds, s *session, r choice.Probed, ended bool, out *machine.Out) {
+	if !ended {
+		out.Kill(s.conn)
+	}
+	delete(p.m.sessions, s.conn)
+	p.active = slices.DeleteFunc(p.active, func(x *session) bool { return x == s })
+	r.EP, r.Delay = s.probe.ep, now-s.probe.began
+	p.m.events = append(p.m.events, r)
+	p.next(now, out)
+}
+
+// patience is how long a probe may take: one that waits for half of the shortest soft deadline says what no answer says.
+func (p *prober) patience() machine.Seconds { return p.m.soft / 2 }
+
+func (p *prober) sweep(now machine.Seconds, out *machine.Out) {
+	for len(p.active) > 0 && now >= p.active[0].probe.began+p.patience() {
+		p.end(now, p.active[0], choice.Probed{}, false, out)
+	}
+	if len(p.active) > 0 {
+		out.At(p.active[0].probe.began + p.patience())
+	}
+}
--- /dev/null
+++ b/internal/platform/roll.go
@@ -0,0 +1,184 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"strconv"
+
+	"gingerfork/choice"
+	"gingerfork/internal/machine"
+)
+
+// roll is the list as last held, and the two ways between a server's name and the number that the module knows it by.
+type roll struct {
+	version int64
+	held    bool // a list was held at all
+	older   int  // whole lists in a row that were older than what is held
+	numbers map[string]choice.EP
+	servers map[choice.EP]*server
+	tidied  machine.Seconds
+}
+
+type server struct {
+	name  string
+	addr  string
+	entry choice.Entry
+	gone  machine.Seconds // since when it is not listed; 0: it is
+}
+
+// most is how long the name of a server that is gone is kept: longer than the module may still speak of it.
+const keepName = choice.KeepPlace + 60
+
+func newRoll() *roll {
+	return &roll{numbers: map[string]choice.EP{}, servers: map[choice.EP]*server{}}
+}
+
+// host and list are discovery's forms.
+type host struct {
+	Host   string
+	Dial   string
+	Site   string
+	Class  string
+	Block  int
+	Health string
+	Share  *float64
+	BornMs float64 `json:"born_ms"`
+}
+
+type list struct {
+	Seq   *int64
+	Whole bool
+	Hosts *[]host
+}
+
+func parseList(b []byte) (*list, error) {
+	l := &list{}
+	if err := json.Unmarshal(b, l); err != nil {
+		return nil, fmt.Errorf("a list that can't be read: %w", err)
+	}
+	if l.Seq == nil || l.Hosts == nil {
+		return nil, fmt.Errorf("a list without its number or its servers")
+	}
+	seen := make(map[string]bool, len(*l.Hosts))
+	for _, h := range *l.Hosts {
+		switch {
+		case !goodName(h.Host):
+			return nil, fmt.Errorf("a list with a server of the name %.64q", h.Host)
+		case seen[h.Host]:
+			return nil, fmt.Errorf("a list that names %s twice", h.Host)
+		case h.Health != "active" && h.Health != "leaving" && h.Health != "left":
+			return nil, fmt.Errorf("a list that tells of %s the unknown health %.32q", h.Host, h.Health)
+		case h.Share != nil && !(*h.Share >= 0 && *h.Share <= 1e6), !(h.BornMs >= 0 && h.BornMs <= 1e15):
+			return nil, fmt.Errorf("a list that gives %s a figure out of range", h.Host)
+		}
+		seen[h.Host] = true
+	}
+	return l, nil
+}
+
+// goodName keeps names fit for orders, in which they stand between commas and colons.
+func goodName(s string) bool {
+	if s == "" || len(s) > 128 {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; c <= ' ' || c > '~' || c == ',' || c == ':' || c == '=' || c == '+' {
+			return false
+		}
+	}
+	return true
+}
+
+// number gives a server's number: made from its name alone, so that it is the same at every coordinator and after every
+// restart, as the ring hashes it. Of two names that would share one, the later met takes the next that is free.
+func (r *roll) number(name string) choice.EP {
+	if ep, ok := r.numbers[name]; ok {
+		return ep
+	}
+	sum := crc32.ChecksumIEEE([]byte(name))
+	for k := 1; r.servers[choice.EP(sum)] != nil; k++ {
+		sum = crc32.ChecksumIEEE([]byte(name + "/" + strconv.Itoa(k)))
+	}
+	r.numbers[name] = choice.EP(sum)
+	return choice.EP(sum)
+}
+
+// news takes over a list that discovery sent and gives what the module is to hear of it.
+func (r *roll) news(now machine.Seconds, l *list) (choice.Listed, error) {
+	if l.Whole && r.held && *l.Seq < r.version {
+		// One that is older than what is held comes from somewhere that is behind; if it stays so, discovery began anew.
+		if r.older++; r.older < 3 {
+			return choice.Listed{}, fmt.Errorf("a whole list of version %d, but version %d is held", *l.Seq, r.version)
+		}
+	}
+	r.older = 0
+	out := choice.Listed{Kind: choice.ListDelta, Version: *l.Seq}
+	listed := map[choice.EP]bool{}
+	for _, h := range *l.Hosts {
+		ep := r.number(h.Host)
+		s := r.servers[ep]
+		if s == nil {
+			if h.Health == "left" {
+				delete(r.numbers, h.Host) // never heard of, and nothing to say of it
+				continue
+			}
+			s = &server{name: h.Host}
+			r.servers[ep] = s
+		}
+		if h.Dial != "" {
+			s.addr = h.Dial
+		}
+		s.gone = 0
+		s.entry = choice.Entry{EP: ep, Kind: h.Class, Zone: choice.Zone(h.Site), Weight: 1, Cell: h.Block, Start: h.BornMs / 1000}
+		if h.Share != nil {
+			s.entry.Weight = *h.Share
+		}
+		switch h.Health {
+		case "active":
+			s.entry.State = choice.Open
+		case "leaving":
+			s.entry.State = choice.Draining
+		default:
+			s.entry.State, s.gone = choice.Gone, now
+		}
+		listed[ep] = true
+		out.Entries = append(out.Entries, s.entry)
+	}
+	if l.Whole {
+		out.Kind = choice.ListFull
+		for ep, s := range r.servers {
+			if !listed[ep] && s.gone == 0 {
+				s.gone, s.entry.State = now, choice.Gone
+			}
+		}
+	}
+	r.version, r.held = *l.Seq, true
+	return out, nil
+}
+
+// kept is the list as a fresh instance of the module is to hear of it.
+func (r *roll) kept(order func([]choice.Entry)) choice.Listed {
+	l := choice.Listed{Kind: choice.ListKept, Version: r.version}
+	for _, s := range r.servers {
+		if s.gone == 0 {
+			l.Entries = append(l.Entries, s.entry)
+		}
+	}
+	order(l.Entries)
+	return l
+}
+
+// tidy forgets the names of servers that are gone for so long that nothing speaks of them any more.
+func (r *roll) tidy(now machine.Seconds) {
+	if now < r.tidied+keepName/16 {
+		return
+	}
+	r.tidied = now
+	for ep, s := range r.servers {
+		if s.gone > 0 && now > s.gone+keepName {
+			delete(r.servers, ep)
+			delete(r.numbers, s.name)
+		}
+	}
+}
