--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -127,7 +127,8 @@
 	if math.IsInf(m.soft, 1) {
 		m.soft = 1
 	}
-	for i := range int(b.Num("zones.n", 0)) {
+	// Counted by what is there: the simulator's settings carry the zones' number under another name than their words.
+	for i := 0; b.Word(fmt.Sprintf("zones.%d", i)) != ""; i++ {
 		m.zones[b.Word(fmt.Sprintf("zones.%d", i))] = true
 	}
 	m.round = b.Num("tick", 0)
