--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -49,14 +49,8 @@
 		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
 			c, now, version := fleet(b, size[0], size[1])
 			full := 0
-			for s := range c.joined() {
-				for _, t := range s.binds {
-					op := proto.Op{Kind: proto.OpBind, Table: uint64(t)}
-					for ep, w := range c.tables[t].weight {
-						op.Lines = append(op.Lines, c.line(ep, w))
-					}
-					full += len(proto.Append(nil, proto.Push{Ops: []proto.Op{op}}))
-				}
+			for f := range c.book.Joined() {
+				full += len(proto.Append(nil, proto.Push{Ops: c.ops(c.book.Holds(f))}))
 			}
 			lines, bytes := 0, 0
 			var within time.Duration
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -612,8 +612,8 @@
 		r.run(0.02)
 		r.step(100, gone(c), data(r.list, proto.List{Kind: proto.ListChanges, Base: r.version, Version: r.version}))
 	}
-	if len(core.numbered) > 20 || len(core.tables) > 20 || len(core.members) > 20 {
-		t.Fatalf("%d numbers, %d tables and %d names for proxies that came one by one", len(core.numbered), len(core.tables), len(core.members))
+	if len(core.numbered) > 20 || core.book.Tables() > 20 || len(core.members) > 20 {
+		t.Fatalf("%d numbers, %d tables and %d names for proxies that came one by one", len(core.numbered), core.book.Tables(), len(core.members))
 	}
 }
 
--- a/internal/coordinator/core.go
+++ b/internal/coordinator/core.go
@@ -6,13 +6,12 @@
 package coordinator
 
 import (
-	"cmp"
 	"fmt"
-	"iter"
 	"runtime/debug"
 	"slices"
 
 	"gingerfork/choice"
+	"gingerfork/internal/fanout"
 	"gingerfork/internal/keep"
 	"gingerfork/internal/proto"
 )
@@ -113,10 +112,9 @@
 	queue  []*message
 	urgent bool // a withdrawal is among them
 	sent   uint64
-	marks  []pending          // sent, not answered
-	shut   map[choice.EP]bool // what it was told is withdrawn
-	binds  []choice.Table
-	now    *message // of this step
+	marks  []pending // sent, not answered
+	// follower is what it is to the book of tables.
+	follower *fanout.Follower
 }
 
 // pending is a mark that was given to a proxy.
@@ -128,13 +126,6 @@
 	at    choice.Seconds
 }
 
-// table is one of the module's tables, and who follows it.
-type table struct {
-	weight    map[choice.EP]float64
-	levels    []proto.Level
-	followers []*stream
-}
-
 // member is a proxy's number. It is given to another once the module has forgotten what it knew of it.
 type member struct {
 	name   string
@@ -168,8 +159,7 @@
 	spare   []choice.Proxy
 	// numbered has the streams by their proxy's number, nil where none is joined.
 	numbered []*stream
-	tables   map[choice.Table]*table
-	shut     map[choice.EP]bool
+	book     *fanout.Book
 
 	events  []choice.Event
 	answers []held // held back
@@ -177,8 +167,6 @@
 	ring    choice.Token
 	step    uint64
 	stepped choice.Seconds
-	touched []*stream
-	fresh   []StreamID // joined since the last step
 	out     Orders
 	figures Figures
 }
@@ -205,7 +193,7 @@
 func New(boot choice.Bootstrap, kept *keep.Kept) *Core {
 	c := &Core{boot: boot, planner: choice.New(boot), methods: int(boot.Num("method.n", 1)), round: boot.Num("tick", 0),
 		roll: &roll{entries: map[choice.EP]*server{}}, keep: keep.New(boot.Now, kept), intake: newIntake(boot), streams: map[StreamID]*stream{},
-		members: map[string]*member{}, tables: map[choice.Table]*table{}, shut: map[choice.EP]bool{}, alarm: boot.Now}
+		members: map[string]*member{}, book: fanout.New(), alarm: boot.Now}
 	c.channel = channel{pace: boot.Num("channel_pace", 1e4), head: int(boot.Num("message_lines", 0)), burst: c.round,
 		free: boot.Now}
 	c.stepped = boot.Now - c.round
@@ -328,11 +316,10 @@
 		c.out.Drops = append(c.out.Drops, Drop{m.stream.id, "this proxy joined again on a newer stream"})
 		c.leave(now, m.stream)
 	}
-	s := &stream{id: e.Stream, name: m.name, proxy: m.number, zone: choice.Zone(e.Hello.Zone), shut: map[choice.EP]bool{}}
+	s := &stream{id: e.Stream, name: m.name, proxy: m.number, zone: choice.Zone(e.Hello.Zone), follower: c.book.Join(m.number)}
 	m.stream = s
 	c.streams[e.Stream], c.numbered[s.proxy] = s, s
 	c.figures.Joins++
-	c.fresh = append(c.fresh, s.id)
 	c.events = append(c.events, choice.Joined{Proxy: s.proxy, Zone: s.zone, Rate: e.Hello.Rate, Fresh: e.Hello.Fresh})
 }
 
@@ -340,9 +327,7 @@
 	delete(c.streams, s.id)
 	c.numbered[s.proxy] = nil
 	c.channel.drop(s)
-	for _, t := range s.binds {
-		c.tables[t].unfollow(s)
-	}
+	c.book.Leave(s.follower)
 	c.answers = slices.DeleteFunc(c.answers, func(h held) bool { return h.stream == s })
 	m := c.members[s.name]
 	m.stream, m.left = nil, now
@@ -415,60 +400,58 @@
 			c.carry(now, o)
 		}
 	}
-	c.shutOut()
 	if mark != nil && mark.All {
-		for s := range c.joined() {
-			c.of(s)
+		for f := range c.book.Joined() {
+			c.book.Touch(f)
 		}
 	}
+	// What the list took out of use before a restart is withdrawn, too: the module, which was not there, orders nothing
+	// for it.
+	messages, turns := c.book.Close(c.keep.Drained)
 	var wire, needs uint64
-	if mark != nil && len(c.touched) > 0 {
+	if mark != nil && len(messages) > 0 {
 		wire, needs = c.keep.Mark(), c.keep.Needs()
 	}
-	for _, s := range c.touched {
-		m := s.now
-		s.now = nil
+	for _, x := range messages {
+		m := &message{to: c.numbered[x.To.Proxy], step: c.step, at: c.stepped, lines: x.Lines, urgent: x.Urgent, ops: c.ops(x.Ops)}
 		if mark != nil {
 			m.marked, m.mark, m.wire, m.needs = true, mark.Mark, wire, needs
 			m.lines++
 		}
 		c.channel.add(m)
 	}
-	c.touched = c.touched[:0]
-	for i := range c.out.Turns {
-		c.out.Turns[i].Mark = wire
+	for _, t := range turns {
+		c.out.Turns = append(c.out.Turns, Turn{EP: t.EP, Out: t.Out, Proxies: t.Proxies, Mark: wire})
 	}
 }
 
-// shutOut tells proxies that joined in this step what is withdrawn, where the module has no table to give them: as what
-// they hold of an earlier stream stays in force, they would go on sending there. A withdrawal is a standing order to
-// all that are joined, whenever they joined; a table carries its own.
-func (c *Core) shutOut() {
-	var all []choice.EP
-	gathered := false // once for all, and only if any has no table
-	for _, id := range c.fresh {
-		s := c.streams[id]
-		if s == nil || len(s.binds) > 0 {
-			continue
+// opKinds are the protocol's words for what proxies are told.
+var opKinds = map[fanout.Kind]proto.OpKind{fanout.Line: proto.OpLine, fanout.Clear: proto.OpClear, fanout.Bind: proto.OpBind,
+	fanout.Level: proto.OpLevel, fanout.Withdraw: proto.OpWithdraw, fanout.Readmit: proto.OpReadmit}
+
+// ops puts what a proxy is told into the protocol's form.
+func (c *Core) ops(all []fanout.Op) []proto.Op {
+	out := make([]proto.Op, 0, len(all))
+	for _, x := range all {
+		op := proto.Op{Kind: opKinds[x.Kind]}
+		if x.Kind != fanout.Withdraw && x.Kind != fanout.Readmit {
+			op.Table = uint64(x.Table)
+		}
+		if x.Kind == fanout.Bind {
+			op.Methods = x.Methods
+		}
+		for _, l := range x.Lines {
+			op.Lines = append(op.Lines, c.line(l))
 		}
-		if !gathered {
-			// What the list took out of use before a restart, too: the module, which was not there, orders nothing for it.
-			gathered, all = true, c.keep.Drained()
-			for ep := range c.shut {
-				all = append(all, ep)
-			}
-			slices.Sort(all)
-			all = slices.Compact(all)
+		for _, g := range x.Levels {
+			op.Levels = append(op.Levels, proto.Level{Methods: g.Methods, Level: g.Level, Tries: uint64(g.Tries)})
 		}
-		for _, ep := range all {
-			if s.shut[ep] {
-				continue
-			}
-			s.shut[ep] = true
-			c.add(s, proto.Op{Kind: proto.OpWithdraw, Withdrawn: []proto.EP{proto.EP(ep)}}, 1)
+		for _, ep := range x.EPs {
+			op.Withdrawn = append(op.Withdrawn, proto.EP(ep))
 		}
+		out = append(out, op)
 	}
-	c.fresh = c.fresh[:0]
+	return out
 }
 
 func (c *Core) ask(now choice.Seconds, events []choice.Event) (orders []choice.Order) {
@@ -480,50 +463,9 @@
 	return c.planner.Step(now, events)
 }
 
-// joined goes through the streams, by their proxies' numbers.
-func (c *Core) joined() iter.Seq[*stream] {
-	return func(yield func(*stream) bool) {
-		for _, s := range c.numbered {
-			if s != nil && !yield(s) {
-				return
-			}
-		}
-	}
-}
-
-// of is the message of this step to a proxy.
-func (c *Core) of(s *stream) *message {
-	if s.now == nil {
-		s.now = &message{to: s, step: c.step, at: c.stepped}
-		c.touched = append(c.touched, s)
-	}
-	return s.now
-}
-
-func (c *Core) add(s *stream, op proto.Op, lines int) {
-	m := c.of(s)
-	m.ops, m.lines = append(m.ops, op), m.lines+lines
-	m.urgent = m.urgent || op.Kind == proto.OpWithdraw
-}
-
-func (c *Core) table(t choice.Table) *table {
-	x := c.tables[t]
-	if x == nil {
-		x = &table{weight: map[choice.EP]float64{}}
-		c.tables[t] = x
-	}
-	return x
-}
-
-func (t *table) unfollow(s *stream) {
-	if t != nil {
-		t.followers = slices.DeleteFunc(t.followers, func(x *stream) bool { return x == s })
-	}
-}
-
-func (c *Core) line(ep choice.EP, weight float64) proto.Line {
-	l := proto.Line{EP: proto.EP(ep), Weight: weight, Shut: c.shut[ep]}
-	if s := c.roll.entries[ep]; s != nil && weight > 0 {
+func (c *Core) line(e fanout.Entry) proto.Line {
+	l := proto.Line{EP: proto.EP(e.EP), Weight: e.Weight, Shut: e.Shut}
+	if s := c.roll.entries[e.EP]; s != nil && e.Weight > 0 {
 		l.Addr = s.Addr
 	}
 	return l
@@ -532,45 +474,6 @@
 // carry does one order.
 func (c *Core) carry(now choice.Seconds, o choice.Order) {
 	switch o := o.(type) {
-	case choice.SetLine:
-		t := c.table(o.Table)
-		if o.Weight > 0 {
-			t.weight[o.EP] = o.Weight
-		} else {
-			delete(t.weight, o.EP)
-		}
-		for _, s := range t.followers {
-			l := c.line(o.EP, o.Weight)
-			if l.Shut {
-				s.shut[o.EP] = true
-			}
-			c.add(s, proto.Op{Kind: proto.OpLine, Table: uint64(o.Table), Lines: []proto.Line{l}}, 1)
-		}
-	case choice.ClearTable:
-		t := c.table(o.Table)
-		clear(t.weight)
-		t.levels = nil
-		for _, s := range t.followers {
-			c.add(s, proto.Op{Kind: proto.OpClear, Table: uint64(o.Table)}, 1)
-		}
-		if len(t.followers) == 0 {
-			delete(c.tables, o.Table)
-		}
-	case choice.BindTable:
-		c.bind(o)
-	case choice.SetLevel:
-		t := c.table(o.Table)
-		l := proto.Level{Methods: o.Methods, Level: o.Level, Tries: uint64(o.Tries)}
-		if at := slices.IndexFunc(t.levels, func(x proto.Level) bool { return x.Methods == l.Methods }); at >= 0 {
-			t.levels[at] = l
-		} else {
-			t.levels = append(t.levels, l)
-		}
-		for _, s := range t.followers {
-			c.add(s, proto.Op{Kind: proto.OpLevel, Table: uint64(o.Table), Levels: []proto.Level{l}}, 1)
-		}
-	case choice.Withdraw:
-		c.withdraw(o)
 	case choice.Watch:
 		c.out.Watch = &proto.Watch{On: o.On, Since: c.roll.version}
 		if !c.roll.held {
@@ -592,68 +495,10 @@
 	case choice.Say:
 		c.out.Says = append(c.out.Says, o.Text)
 	default:
-		panic(Failure{fmt.Sprintf("an order of unknown type %T", o), nil})
-	}
-}
-
-// bind sends a whole table, as it is at this moment.
-func (c *Core) bind(o choice.BindTable) {
-	if int(o.Proxy) >= len(c.numbered) || c.numbered[o.Proxy] == nil {
-		return // it left while the module decided on older news
-	}
-	s := c.numbered[o.Proxy]
-	t := c.table(o.Table)
-	if !slices.Contains(t.followers, s) {
-		t.followers = append(t.followers, s)
-		s.binds = append(s.binds, o.Table)
-	}
-	op := proto.Op{Kind: proto.OpBind, Table: uint64(o.Table), Methods: o.Methods, Levels: slices.Clone(t.levels)}
-	for ep, w := range t.weight {
-		op.Lines = append(op.Lines, c.line(ep, w))
-	}
-	slices.SortFunc(op.Lines, func(a, b proto.Line) int { return cmp.Compare(a.EP, b.EP) })
-	for _, l := range op.Lines {
-		if l.Shut {
-			s.shut[choice.EP(l.EP)] = true
-		}
-	}
-	for ep := range s.shut {
-		op.Withdrawn = append(op.Withdrawn, proto.EP(ep))
-	}
-	slices.Sort(op.Withdrawn)
-	// What this message orders to be withdrawn before the table, the table says itself.
-	m := c.of(s)
-	before := len(m.ops)
-	m.ops = slices.DeleteFunc(m.ops, func(o proto.Op) bool { return o.Kind == proto.OpWithdraw })
-	m.lines -= before - len(m.ops)
-	c.add(s, op, 1+len(op.Lines)+len(op.Levels))
-}
-
-// withdraw shuts a server out, at every proxy that holds a line of it or may hold one of an earlier stream; or lets it
-// in again, at those that hold one. Others need no word: a line says itself whether its server is withdrawn.
-func (c *Core) withdraw(o choice.Withdraw) {
-	if o.On {
-		c.shut[o.EP] = true
-	} else {
-		delete(c.shut, o.EP)
-	}
-	turn := Turn{EP: o.EP, Out: o.On}
-	for s := range c.joined() {
-		holds := slices.ContainsFunc(s.binds, func(t choice.Table) bool { return c.tables[t].weight[o.EP] > 0 })
-		switch {
-		case o.On && (holds || len(s.binds) == 0):
-			s.shut[o.EP] = true
-			c.add(s, proto.Op{Kind: proto.OpWithdraw, Withdrawn: []proto.EP{proto.EP(o.EP)}}, 1)
-			turn.Proxies++
-		case !o.On && s.shut[o.EP]:
-			delete(s.shut, o.EP)
-			if holds {
-				c.add(s, proto.Op{Kind: proto.OpReadmit, Withdrawn: []proto.EP{proto.EP(o.EP)}}, 1)
-				turn.Proxies++
-			}
+		if !c.book.Carry(o) {
+			panic(Failure{fmt.Sprintf("an order of unknown type %T", o), nil})
 		}
 	}
-	c.out.Turns = append(c.out.Turns, turn)
 }
 
 // pump sends what may leave by now.
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -222,11 +222,7 @@
 		t.followers = append(t.followers, f)
 		f.binds = append(f.binds, bound{o.Table, o.Methods})
 	}
-	op := Op{Kind: Bind, Table: o.Table, Methods: o.Methods, Levels: slices.Clone(t.levels)}
-	for ep, w := range t.weight {
-		op.Lines = append(op.Lines, Entry{ep, w, b.shut[ep]})
-	}
-	slices.SortFunc(op.Lines, func(a, b Entry) int { return cmp.Compare(a.EP, b.EP) })
+	op := b.whole(bound{o.Table, o.Methods})
 	for _, l := range op.Lines {
 		if l.Shut {
 			f.shut[l.EP] = true
@@ -244,6 +240,28 @@
 	b.add(f, op, 1+len(op.Lines)+len(op.Levels))
 }
 
+// whole is a table as it is at this moment.
+func (b *Book) whole(x bound) Op {
+	t := b.table(x.table)
+	op := Op{Kind: Bind, Table: x.table, Methods: x.methods, Levels: slices.Clone(t.levels)}
+	for ep, w := range t.weight {
+		op.Lines = append(op.Lines, Entry{ep, w, b.shut[ep]})
+	}
+	slices.SortFunc(op.Lines, func(a, b Entry) int { return cmp.Compare(a.EP, b.EP) })
+	return op
+}
+
+// Holds gives the tables that a proxy follows, whole: what it holds once all that it was told has reached it.
+func (b *Book) Holds(f *Follower) (all []Op) {
+	for _, x := range f.binds {
+		all = append(all, b.whole(x))
+	}
+	return all
+}
+
+// Tables is how many tables there are.
+func (b *Book) Tables() int { return len(b.tables) }
+
 // withdraw shuts a server out, at every proxy that holds a line of it or may hold one of an earlier stream; or lets it
 // in again, at those that hold one. Others need no word: a line says itself whether its server is withdrawn.
 func (b *Book) withdraw(o choice.Withdraw) {
