Arcs reckon with proxies that left as load of their zone; health benches at our start

A trace of sums and probes showed tries of dc-malaga's proxies at dc-kewdale's servers all failing: a zone cut, in which each planner had kept the proxies of its side and dealt half of their arcs across. At fault: ring.deal, whose bound spread what is ours over all servers as if nobody else loaded them. Ruled out: the front (sums as sent), discovery's moves, CPU. Also seen in the log: sound client_stats with more failed than tries were dropped (line.decode); they are taken now. Change: proxies that left count in their zone; in the first 8 s of sums what comes while answers are quick counts as carried. Each guard was broken once: TestProxiesThatLeftLoadTheirZone and TestAbortingServerIsBenchedAtOurStart caught it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -296,7 +296,14 @@
 	})
 	ours := c.ours()
 	strain := ours*open/max(open-out, 1e-9) + 1 - ours
-	return out <= benchPart*open && sum(c.gate.came)*strain <= benchStrain*c.gate.best*open
+	came, carried := sum(c.gate.came), c.gate.best*open
+	if c.gate.slow < jamDelay && !c.gate.jammed && c.now < c.gate.first+2*gateSpan {
+		// The best rate takes seconds to be learned, and until then a server that aborts from our start on would
+		// stay. Answers that are quick show that what comes is carried. Not later: where a cut fills half the
+		// fleet, answers that still are quick say nothing of those that never come.
+		carried = max(carried, came)
+	}
+	return out <= benchPart*open && came*strain <= benchStrain*carried
 }
 
 func (r *ring) take(n note) {
@@ -387,7 +394,13 @@
 	}
 	var walks []*walk
 	r.joined = 0
+	// Who left us is with another planner and still loads its zone. Without that, one that a cut leaves with the
+	// proxies of its own zone alone would send half of them across the cut, to servers that seem idle.
+	away := make([]float64, len(c.zones))
 	for _, p := range c.proxies {
+		if !p.joined {
+			away[p.zone] += p.rate()
+		}
 		if p.joined {
 			r.joined++
 			asks += p.rate()
@@ -401,7 +414,7 @@
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
 	// The lumps of other planners' arcs add to ours by the root; a full zone is full for all of them.
 	lump := 1 / math.Sqrt(max(c.ours(), 1e-3))
-	bound := asks * (1 + (c.gate.fair-1)*lump) / room
+	bound := (asks + sum(away)) * (1 + (c.gate.fair-1)*lump) / room
 	for _, i := range r.order { // what a zone keeps to itself is not for cold ones
 		if c.ease[i] < 1 {
 			c.part[i] *= (1 + (fairLeast-1)*lump) / (1 + (c.gate.fair-1)*lump)
@@ -418,6 +431,17 @@
 		}
 	}
 	c.carry, c.cover, r.took = make([]float64, len(c.id)), make([]int, len(c.id)), make([]*walk, len(c.id))
+	others := make([]float64, len(c.id))
+	for z, turn := range r.near {
+		whole := 1e-9
+		for _, i := range turn {
+			whole += c.part[i]
+		}
+		for _, i := range turn {
+			others[i] = away[z] * c.part[i] / whole
+			c.carry[i] = others[i]
+		}
+	}
 	for _, w := range walks {
 		// When all have their part, the bound gives way by small steps, so that what is too much lies even.
 		for limit := bound; limit == bound || w.fill > 0 && limit < 16*bound; limit *= 1.09 {
@@ -430,6 +454,9 @@
 			}
 		}
 	}
+	for _, i := range r.order {
+		c.carry[i] -= others[i]
+	}
 	// What the arcs leave out goes to those that would reach it soonest.
 	for _, i := range r.order {
 		for range max(0, coverage-c.cover[i]) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -971,3 +971,57 @@
 		}
 	}
 }
+
+// A cut between zones leaves a planner with one zone's proxies. Those that left still load their own zone, so servers
+// there must not look idle: else half of what is left would be sent across the cut.
+func TestProxiesThatLeftLoadTheirZone(t *testing.T) {
+	w := started(t, map[string]any{"proxies": 24.0}, 12, 12)
+	sums := func() {
+		w.feed(12, 0.1, nil, nil)
+		for p, ok := range w.joined {
+			if ok {
+				w.step(0.001, UsageSum{Proxy: p, RPCs: 10, Over: 1})
+			}
+		}
+	}
+	for range 12 {
+		sums()
+	}
+	for p := range Proxy(12) {
+		if home(int(p)) == "b" {
+			w.step(0.02, Left{p}, Joined{12 + p, "a", 10, true})
+		}
+	}
+	for range 3 {
+		sums()
+		w.settle()
+	}
+	across, all := 0.0, 0.0
+	for p, ok := range w.joined {
+		for _, table := range w.bound[p] {
+			for id, weight := range w.tables[table] {
+				if all += weight; ok && w.open[id].Zone != w.zone[p] {
+					across += weight
+				}
+			}
+		}
+	}
+	if across > 0.2*all {
+		t.Fatalf("%.0f of %.0f weight lies across", across, all)
+	}
+}
+
+// A server that aborts from our start on is benched before the best rate of answers has been learned.
+func TestAbortingServerIsBenchedAtOurStart(t *testing.T) {
+	w := started(t, nil, 8, 6)
+	for range 2 { // sums come every other second, and those of tries tell of less than came
+		for p := range Proxy(6) {
+			w.step(0.01, UsageSum{Proxy: p, RPCs: 60, Over: 2})
+		}
+		w.step(1.3)
+		w.feed(8, 0.1, map[EP]float64{1000: 1}, nil)
+	}
+	if i := w.c.index[1000]; w.c.bench[i][0] <= w.now || w.c.bench[i][1] <= w.now {
+		t.Fatalf("it is in use: benched until %v, now %.1f", w.c.bench[i], w.now)
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -385,7 +385,7 @@
 			return spoilt("usage", "proxy %d or method %.32q does not exist", x.Proxy, x.Method)
 		}
 		// Of a proxy that left, or that is joined elsewhere, it is no business of ours.
-		if m.streams[x.Proxy] != nil && x.RPCs > 0 {
+		if m.streams[x.Proxy] != nil && x.RPCs+x.Bad > 0 {
 			m.events = append(m.events, choice.UsageSum{Proxy: choice.Proxy(x.Proxy), Method: choice.Method(method), RPCs: x.RPCs, Bad: x.Bad, Over: x.Over})
 		}
 		return nil
