--- a/internal/platform/orders.go
+++ b/internal/platform/orders.go
@@ -5,6 +5,7 @@
 
 	"gingerfork/choice"
 	"gingerfork/internal/fanout"
+	"gingerfork/internal/machine"
 	"gingerfork/internal/platform/line"
 )
 
@@ -14,8 +15,10 @@
 	follower *fanout.Follower
 	proxy    choice.Proxy
 	zone     choice.Zone
-	rate     float64       // RPCs a second that it usually gets, as it said
-	marks    []choice.Mark // sent on this stream and not answered, oldest first
+	rate     float64         // RPCs a second that it usually gets, as it said
+	marks    []choice.Mark   // sent on this stream and not answered, oldest first
+	asked    machine.Seconds // since when marks have been unanswered; its time while there are none is of no use
+	heard    machine.Seconds // when bytes last came
 	// told has what the proxy was told on this stream of servers shut out (true) and let in (false). Withdrawals stay with
 	// a proxy across streams, and other coordinators order them too: of what is not here nothing is known, unless it came
 	// with nothing (pristine).
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -72,6 +72,9 @@
 	ring    choice.Token
 	stepped machine.Seconds
 	failed  machine.Seconds // when the module last failed
+	heard   machine.Seconds // when bytes last came from anybody who was accepted
+	looked  machine.Seconds // when dead streams were last looked for
+	stopped machine.Seconds // until when we last stood still
 	moved   *Bootstrap      // what is to be in force from the next step on
 	lost    map[string]int  // troubles by kind, so that a storm of them makes few lines in the log
 	figures Figures
@@ -84,6 +87,7 @@
 	Steps, Orders                    int
 	Refused, Evicted, Spoilt, Broken int
 	Stale                            int // answers to marks not in flight
+	Buried                           int // streams silent for too long
 	Failures                         int // of the module
 	Streams                          int // joined now
 }
@@ -236,6 +240,10 @@
 		case probeRole:
 			m.probes.data(now, s, i.Data, false, out)
 		default:
+			if s.role == proxyRole {
+				s.stream.heard = now
+			}
+			m.heard = now
 			s.reader.Feed(i.Data)
 			m.read(now, s, out)
 		}
@@ -283,10 +291,44 @@
 	if m.strange = m.strange[n:]; len(m.strange) == 0 {
 		m.strange = nil
 	}
+	if now >= m.looked+1 {
+		if now > m.looked+3 {
+			m.stopped = now // we were: what came meanwhile is yet to be read
+		}
+		m.looked = now
+		m.bury(now, out)
+	}
 	m.list.sweep(now, out)
 	m.probes.sweep(now, out)
 }
 
+// silence is how long a stream may owe answers and say nothing at all: three periods of its usage reports, and far
+// longer than any answer takes.
+func (m *Machine) silence() machine.Seconds {
+	return max(3*m.boot.Module.Num("report_period", 1), 20*m.boot.Module.Num("push_time_worst", 0.3), 6)
+}
+
+// bury ends streams whose other end is gone without a word, as after a cut or the loss of a machine: their proxies are
+// elsewhere, and would be dealt tables, and sent the same ones again and again, for as long as TCP keeps the connection.
+// Not when nobody is heard: then it is we who are cut off, or were stopped for a while. A proxy that is buried alive dials
+// again and gets a whole table.
+func (m *Machine) bury(now machine.Seconds, out *machine.Out) {
+	limit := m.silence()
+	if now > m.heard+limit/4 {
+		return
+	}
+	for _, s := range m.streams {
+		if s == nil || len(s.marks) == 0 || now < max(s.asked, s.heard, m.stopped)+limit {
+			continue
+		}
+		m.figures.Buried++
+		m.often(out, "buried", 2, "a stream was silent and owed answers, it counts as left", "proxy", int(s.proxy), "silent", now-s.heard)
+		delete(m.sessions, s.session.conn)
+		out.Kill(s.session.conn)
+		m.leave(s)
+	}
+}
+
 // read takes the messages that are whole. One that makes no sense is dropped alone; bytes that can't be read end the
 // connection.
 func (m *Machine) read(now machine.Seconds, s *session, out *machine.Out) {
@@ -433,7 +475,7 @@
 		out.Kill(old.session.conn)
 		m.leave(old)
 	}
-	st := &stream{session: s, proxy: choice.Proxy(x.Proxy), zone: choice.Zone(x.Zone), rate: x.Rate, told: map[choice.EP]bool{}, pristine: x.Fresh}
+	st := &stream{session: s, proxy: choice.Proxy(x.Proxy), zone: choice.Zone(x.Zone), rate: x.Rate, heard: now, told: map[choice.EP]bool{}, pristine: x.Fresh}
 	st.follower = m.book.Join(st.proxy)
 	s.role, s.stream, s.reader.Most = proxyRole, st, lineMost
 	m.streams[x.Proxy] = st
@@ -514,6 +556,9 @@
 		var with *choice.Mark
 		if mark != nil {
 			with = &mark.Mark
+			if len(s.marks) == 0 {
+				s.asked = now
+			}
 			if s.marks = append(s.marks, *with); len(s.marks) > mostMarks {
 				s.marks = append(s.marks[:0], s.marks[1:]...)
 			}
