--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -300,3 +300,35 @@
 		t.Fatal(err)
 	}
 }
+
+// Past the bound nobody is accepted, and the next one is as soon as one has ended; dialled ones count.
+func TestConnectionsAreBounded(t *testing.T) {
+	l, e := start(t, Bootstrap{MostConns: 3})
+	opened := func() int { return e.count(func(i machine.Input) bool { return i.Kind == machine.Opened }) }
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	l.Tell("dial " + far.Addr().String())
+	eventually(t, "the dialled one stands", func() bool { return opened() == 1 })
+	var all []net.Conn
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addrs()[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		all = append(all, c)
+	}
+	eventually(t, "two are accepted beside it", func() bool { return opened() == 3 })
+	l.Tell("wake") // what is past the bound has had every chance by the time that this has come round
+	eventually(t, "it woke", func() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.wakes == 1 })
+	if n := opened(); n != 3 {
+		t.Fatalf("%d stand, 3 may", n)
+	}
+	for i := range 3 {
+		all[i].Close()
+		eventually(t, "the next is accepted", func() bool { return opened() == min(4+i, 6) })
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -89,6 +89,7 @@
 	Stale                            int // answers to marks not in flight
 	Buried                           int // streams silent for too long
 	Failures                         int // of the module
+	Panics                           int // at inputs
 	Streams                          int // joined now
 }
 
@@ -165,7 +166,7 @@
 func (m *Machine) Step(now machine.Seconds, in []machine.Input, out *machine.Out) {
 	m.renew(now, out)
 	for _, i := range in {
-		m.input(now, i, out)
+		m.guarded(now, i, out)
 	}
 	m.sweep(now, out)
 	if due := now >= m.alarm; due || len(m.events) > 0 && now >= m.stepped+m.round {
@@ -205,6 +206,35 @@
 	return m.dialled
 }
 
+// guarded takes an input. Should one ever make us panic, it costs its own connection and not all the others theirs, which
+// the end of the process would.
+func (m *Machine) guarded(now machine.Seconds, i machine.Input, out *machine.Out) {
+	defer func() {
+		r := recover()
+		if r == nil {
+			return
+		}
+		m.figures.Panics++
+		m.often(out, "panic", 3, "an input could not be taken, its connection ends", "conn", uint64(i.Conn), "cause", fmt.Sprint(r), "stack", string(debug.Stack()))
+		s := m.sessions[i.Conn]
+		if s == nil {
+			return
+		}
+		delete(m.sessions, i.Conn)
+		out.Kill(i.Conn)
+		switch s.role {
+		case proxyRole:
+			m.leave(s.stream)
+		case listRole:
+			m.list.conn, m.list.up = 0, false
+			m.list.failed(now, "its answer could not be taken", out)
+		case probeRole:
+			m.probes.active = slices.DeleteFunc(m.probes.active, func(x *session) bool { return x == s })
+		}
+	}()
+	m.input(now, i, out)
+}
+
 func (m *Machine) input(now machine.Seconds, i machine.Input, out *machine.Out) {
 	s := m.sessions[i.Conn]
 	switch i.Kind {
