--- a/internal/platform/day_test.go
+++ b/internal/platform/day_test.go
@@ -162,6 +162,7 @@
 	buf    string
 	lines  map[string]float64
 	out    map[string]bool
+	levels map[string]string // by method, as told: level and way of trying again
 	fresh  bool
 	pushes int
 	first  bool // the first message on a stream must not be a delta
@@ -172,7 +173,7 @@
 	c := &crowd{t: t, doors: doors, by: map[machine.Conn]*standinProxy{}, late: map[string][]machine.Conn{}, known: known,
 		rude: map[machine.Conn]machine.Seconds{}, good: map[string]bool{}, dice: rand.New(rand.NewPCG(7, 7)), n: machine.Dialled}
 	for i := range n {
-		c.all = append(c.all, &standinProxy{n: i, zone: string(rune('a' + i%2)), door: i % len(doors), lines: map[string]float64{}, out: map[string]bool{}, fresh: true})
+		c.all = append(c.all, &standinProxy{n: i, zone: string(rune('a' + i%2)), door: i % len(doors), lines: map[string]float64{}, out: map[string]bool{}, levels: map[string]string{}, fresh: true})
 	}
 	return c
 }
@@ -302,11 +303,13 @@
 			c.t.Fatalf("proxy %d is told %q", p.n, l)
 		}
 		p.pushes++
+		methods, level := []string{"read", "submit"}, ""
 		for _, w := range words[1:] {
 			k, v, _ := strings.Cut(w, "=")
 			switch k {
 			case "whole":
 				clear(p.lines)
+				clear(p.levels)
 				p.fresh, p.first = false, false
 			case "lines":
 				if p.first {
@@ -331,7 +334,15 @@
 						delete(p.out, name)
 					}
 				}
-			case "classes", "level", "retry", "more":
+			case "classes":
+				methods = strings.Split(v, "+")
+			case "level":
+				level = v
+			case "retry":
+				for _, m := range methods {
+					p.levels[m] = level + "/" + v
+				}
+			case "more":
 			case "ticket":
 				if !p.mute {
 					out.Write(p.conn, fmt.Appendf(nil, "done proxy=%d mark=%s took_ms=40.5\r\n", p.n, v))
@@ -464,6 +475,13 @@
 			p := x.crowd.all[s.proxy]
 			want, shut := map[string]float64{}, map[string]bool{}
 			for _, op := range m.book.Holds(s.follower) {
+				for _, g := range op.Levels {
+					for i, name := range m.methods {
+						if told := fmt.Sprintf("%v/%d", g.Level, g.Tries); g.Methods>>i&1 == 1 && p.levels[name] != told {
+							x.t.Errorf("proxy %d has level %s for %s, c%d believes %s", p.n, p.levels[name], name, p.door, told)
+						}
+					}
+				}
 				for _, l := range op.Lines {
 					name := m.roll.servers[l.EP].name
 					want[name] = l.Weight
