Platform: what long streams were told is forgotten; older changes refused; failures tested

Read through. Seen: a stream that never breaks kept one entry for each server it was ever told of (stream.told), and the test of a long life did not see it, as it broke every stream; now one stands for ever and the invariant is checked by name. Changes older than what is held were taken and set the version back (roll.news); they are refused, and the next call asks for all. A module that panics and an input that does had no test: TestFailuresAreSurvived. guarded took the stream from the session, which may be what is broken. Also: one reading of load reports in place of two, one look for the oldest stranger (it went through all that were evicted before it, at each newcomer), what settle copied and kept's parameter go.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -400,8 +400,7 @@
 	for _, p := range c.proxies {
 		if !p.joined {
 			away[p.zone] += p.rate()
-		}
-		if p.joined {
+		} else {
 			r.joined++
 			asks += p.rate()
 			for _, s := range p.sheets {
--- a/internal/platform/day_test.go
+++ b/internal/platform/day_test.go
@@ -686,6 +686,55 @@
 	}
 }
 
+// A module that fails, and an input that makes us panic, cost what they must: a fresh instance, and one connection.
+func TestFailuresAreSurvived(t *testing.T) {
+	x := newTown(t, 6, 8, 8)
+	x.run(5)
+	m := x.nodes[0]
+	m.planner = nil // its next step panics
+	x.run(10)
+	x.believed()
+	x.served()
+	if m.figures.Failures != 1 {
+		t.Errorf("%d failures were seen", m.figures.Failures)
+	}
+	for _, s := range m.streams {
+		if s != nil {
+			s.session.stream = nil // its next bytes make us panic
+			break
+		}
+	}
+	x.run(10)
+	x.believed()
+	x.served()
+	if m.figures.Panics != 1 {
+		t.Errorf("%d inputs were seen to panic", m.figures.Panics)
+	}
+}
+
+// Older lists are refused, whole or not, and after one all is asked for; one that stays older is believed.
+func TestOlderLists(t *testing.T) {
+	r := newRoll()
+	for i, c := range []struct {
+		seq   int64
+		whole bool
+		taken bool
+	}{{40, true, true}, {39, false, false}, {41, false, true}, {30, true, false}, {31, true, false}, {32, false, false}, {33, true, true}, {34, false, true}} {
+		hosts := []host{}
+		_, err := r.news(1, &list{Seq: &c.seq, Whole: c.whole, Hosts: &hosts})
+		if (err == nil) != c.taken || r.partial() == c.taken {
+			t.Errorf("%d: %v, asks for all: %v", i, err, r.partial())
+		}
+	}
+}
+
+func told(s *stream) map[choice.EP]bool {
+	if s == nil {
+		return nil
+	}
+	return s.told
+}
+
 // A long life: thousands of servers, streams and strangers come and go; nothing grows beyond what is alive and what was
 // in the time that names are kept.
 func TestNothingGrows(t *testing.T) {
@@ -712,8 +761,17 @@
 		for range 3 {
 			x.w.Tell("crowd", "rude")
 		}
-		x.w.Tell("crowd", fmt.Sprintf("break %d late", i%6))
+		x.w.Tell("crowd", fmt.Sprintf("break %d late", i%5))
 		x.run(1.5)
+		for _, m := range x.nodes {
+			for _, s := range m.streams {
+				for ep := range told(s) {
+					if m.roll.servers[ep] == nil {
+						t.Fatalf("what proxy %d was told of a server is kept longer than the server's name", s.proxy)
+					}
+				}
+			}
+		}
 		if i == 600 {
 			half = grown()
 		}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -33,7 +33,7 @@
 
 func (d *caller) watch(now machine.Seconds, out *machine.Out) {
 	if !d.calling {
-		d.call(now, false, !d.m.roll.held, out)
+		d.call(now, false, d.m.roll.partial(), out)
 		return
 	}
 	if d.waits { // it stands already
@@ -174,7 +174,7 @@
 	d.drop(out)
 	d.addr = addr
 	if d.calling {
-		d.call(now, false, !d.m.roll.held, out)
+		d.call(now, false, d.m.roll.partial(), out)
 	}
 }
 
--- a/internal/platform/line/line.go
+++ b/internal/platform/line/line.go
@@ -41,7 +41,7 @@
 		Zone, Server string
 		Tries, Bad   int
 		Delay, Over  float64
-		Load         []Figure
+		Load         map[string]float64
 	}
 	// Usage is what came to a proxy of one method.
 	Usage struct {
@@ -54,12 +54,6 @@
 	Beat struct{}
 )
 
-// Figure is one of a load report's.
-type Figure struct {
-	Name  string
-	Value float64
-}
-
 // Spoilt is a message that makes no sense on a connection that does: it alone is lost.
 type Spoilt struct {
 	Kind string
@@ -287,11 +281,12 @@
 	return v == "1"
 }
 
-func (w *words) load() (all []Figure) {
+func (w *words) load() map[string]float64 {
 	v, ok := w.find("load")
 	if !ok || v == "" {
 		return nil
 	}
+	all := map[string]float64{}
 	for _, pair := range strings.Split(v, ",") {
 		name, x, ok := strings.Cut(pair, ":")
 		f, err := strconv.ParseFloat(x, 64)
@@ -299,7 +294,7 @@
 			w.fail("load is not a list of figures")
 			return nil
 		}
-		all = append(all, Figure{name, f})
+		all[name] = f
 	}
 	return all
 }
--- a/internal/platform/line/line_test.go
+++ b/internal/platform/line/line_test.go
@@ -16,7 +16,7 @@
 	"attach proxy=17 zone=a weight=21.5 fresh=1\r\ndone proxy=17 mark=905 took_ms=310.5\r\nclient_stats proxy=17 class=lookup tries=19 failed=0 span_ms=1000\r\n" +
 	"client_stats proxy=17 class=lookup tries=2 failed=5 span_ms=1000\r\n"
 
-var soundly = []Message{Beat{}, Collector{"a"}, Tries{"a", "s-1", 212, 3, 0.0417, 1, []Figure{{"inflight", 7}, {"util", 0.61}}},
+var soundly = []Message{Beat{}, Collector{"a"}, Tries{"a", "s-1", 212, 3, 0.0417, 1, map[string]float64{"inflight": 7, "util": 0.61}},
 	Join{17, "a", 21.5, true}, Answer{17, 905, 0.3105}, Usage{17, "lookup", 19, 0, 1},
 	Usage{17, "lookup", 2, 5, 1}}
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,7 +5,6 @@
 package platform
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"runtime/debug"
@@ -137,9 +136,7 @@
 		m.zones[b.Word(fmt.Sprintf("zones.%d", i))] = true
 	}
 	m.round = b.Num("tick", 0)
-	old := m.streams
 	m.streams = make([]*stream, min(max(int(b.Num("proxies", 0)), 0), 1<<16))
-	copy(m.streams, old)
 }
 
 // instance begins with a fresh instance of the module: from the list as held, and the streams that stand.
@@ -147,9 +144,7 @@
 	m.planner, m.book = choice.New(b), fanout.New()
 	m.events, m.alarm, m.stepped = nil, b.Now, b.Now-m.round
 	if m.roll.held {
-		m.events = append(m.events, m.roll.kept(func(all []choice.Entry) {
-			slices.SortFunc(all, func(a, b choice.Entry) int { return cmp.Compare(a.EP, b.EP) })
-		}))
+		m.events = append(m.events, m.roll.kept())
 	}
 	for _, s := range m.streams {
 		if s != nil {
@@ -180,11 +175,24 @@
 		out.At(m.stepped + m.round)
 	}
 	out.At(m.alarm)
-	m.roll.tidy(now)
+	m.forget(m.roll.tidy(now))
 	// Whatever asks, the next step is not at this very moment: it would be asked for again and again.
 	out.Wake = max(out.Wake, now+shortest)
 }
 
+// forget drops what streams were told of servers whose names are forgotten. A proxy goes on holding one as shut out, so should
+// the name ever come back, it must be let back in.
+func (m *Machine) forget(gone []choice.EP) {
+	for _, s := range m.streams {
+		for _, ep := range gone {
+			if s != nil {
+				s.pristine = s.pristine && !s.told[ep]
+				delete(s.told, ep)
+			}
+		}
+	}
+}
+
 const shortest machine.Seconds = 1e-4
 
 func (m *Machine) renew(now machine.Seconds, out *machine.Out) {
@@ -224,7 +232,11 @@
 		out.Kill(i.Conn)
 		switch s.role {
 		case proxyRole:
-			m.leave(s.stream)
+			for _, st := range m.streams { // not by the session, which may be what is broken
+				if st != nil && st.session == s {
+					m.leave(st)
+				}
+			}
 		case listRole:
 			m.list.conn, m.list.up = 0, false
 			m.list.failed(now, "its answer could not be taken", out)
@@ -294,32 +306,35 @@
 		return
 	}
 	// Whoever has joined stays; the stranger that had the longest time to do so makes room.
-	for _, x := range m.strange {
-		if m.sessions[x.conn] == x && x.role == stranger {
-			m.figures.Evicted++
-			m.often(out, "evicted", 2, "connections are at their limit, a stranger made room", "limit", m.boot.MostConns)
-			delete(m.sessions, x.conn)
-			out.Kill(x.conn)
-			return
+	if x := m.oldest(); x != nil {
+		m.figures.Evicted++
+		m.often(out, "evicted", 2, "connections are at their limit, a stranger made room", "limit", m.boot.MostConns)
+		delete(m.sessions, x.conn)
+		out.Kill(x.conn)
+	}
+}
+
+// oldest is the stranger that came first, nil if there is none. Those before it, that joined or went, are forgotten: in a
+// storm each newcomer would look through them all again.
+func (m *Machine) oldest() *session {
+	for i, s := range m.strange {
+		if m.sessions[s.conn] == s && s.role == stranger {
+			m.strange = m.strange[i:]
+			return s
 		}
 	}
+	m.strange = nil
+	return nil
 }
 
 // sweep ends what takes too long.
 func (m *Machine) sweep(now machine.Seconds, out *machine.Out) {
-	n := 0
-	for _, s := range m.strange {
-		if m.sessions[s.conn] == s && s.role == stranger {
-			if now < s.opened+m.boot.Handshake {
-				out.At(s.opened + m.boot.Handshake)
-				break
-			}
-			m.refuse(s, "it did not join in time", out)
+	for s := m.oldest(); s != nil; s = m.oldest() {
+		if now < s.opened+m.boot.Handshake {
+			out.At(s.opened + m.boot.Handshake)
+			break
 		}
-		n++
-	}
-	if m.strange = m.strange[n:]; len(m.strange) == 0 {
-		m.strange = nil
+		m.refuse(s, "it did not join in time", out)
 	}
 	if now >= m.looked+1 {
 		if now > m.looked+3 {
@@ -370,14 +385,10 @@
 		if err == nil {
 			err = m.message(now, s, msg, out)
 		}
-		var spoilt *line.Spoilt
-		switch sp, ok := err.(*line.Spoilt); {
-		case err == nil:
+		if err == nil {
 			continue
-		case ok:
-			spoilt = sp
 		}
-		if spoilt != nil && s.role != stranger {
+		if spoilt, ok := err.(*line.Spoilt); ok && s.role != stranger {
 			m.figures.Spoilt++
 			m.often(out, "spoilt "+spoilt.Kind, 2, "a message was dropped", "conn", uint64(s.conn), "why", err.Error())
 			continue
@@ -471,25 +482,20 @@
 		}
 		if x.Tries > 0 {
 			m.events = append(m.events, choice.TrySum{EP: ep, Zone: choice.Zone(x.Zone), Tries: x.Tries, Bad: x.Bad, Delay: x.Delay,
-				Over: x.Over, Load: m.load(x.Load)})
+				Over: x.Over, Load: m.columns(x.Load)})
 		}
 		return nil
 	}
 	return spoilt("joining", "it is joined already")
 }
 
-func (m *Machine) load(figures []line.Figure) (all []float64) {
+// columns puts a load report's figures into the order of the settings' columns; one that is not told is 0.
+func (m *Machine) columns(figures map[string]float64) (all []float64) {
 	if len(figures) == 0 {
 		return nil
 	}
 	for i := range int(m.boot.Module.Num("Feedback.Columns.n", 0)) {
-		name, v := m.boot.Module.Word(fmt.Sprintf("Feedback.Columns.%d", i)), 0.0
-		for _, f := range figures {
-			if f.Name == name {
-				v = f.Value
-			}
-		}
-		all = append(all, v)
+		all = append(all, figures[m.boot.Module.Word(fmt.Sprintf("Feedback.Columns.%d", i))])
 	}
 	return all
 }
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -71,17 +71,12 @@
 	}
 }
 
-// load reads a report's figures in the order of the settings' columns.
-func (p *prober) load(body []byte) (all []float64) {
-	n := int(p.m.boot.Module.Num("Feedback.Columns.n", 0))
+func (p *prober) load(body []byte) []float64 {
 	figures := map[string]float64{}
-	if n == 0 || json.Unmarshal(body, &figures) != nil {
+	if json.Unmarshal(body, &figures) != nil {
 		return nil
 	}
-	for i := range n {
-		all = append(all, figures[p.m.boot.Module.Word(fmt.Sprintf("Feedback.Columns.%d", i))])
-	}
-	return all
+	return p.m.columns(figures)
 }
 
 func (p *prober) end(now machine.Seconds, s *session, r choice.Probed, ended bool, out *machine.Out) {
--- a/internal/platform/roll.go
+++ b/internal/platform/roll.go
@@ -1,9 +1,11 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"slices"
 	"strconv"
 
 	"gingerfork/choice"
@@ -14,7 +16,7 @@
 type roll struct {
 	version int64
 	held    bool // a list was held at all
-	older   int  // whole lists in a row that were older than what is held
+	older   int  // lists in a row that were older than what is held
 	numbers map[string]choice.EP
 	servers map[choice.EP]*server
 	tidied  machine.Seconds
@@ -27,7 +29,7 @@
 	gone  machine.Seconds // since when it is not listed; 0: it is
 }
 
-// most is how long the name of a server that is gone is kept: longer than the module may still speak of it.
+// keepName is how long the name of a server that is gone is kept: longer than the module may still speak of it.
 const keepName = choice.KeepPlace + 60
 
 func newRoll() *roll {
@@ -106,10 +108,10 @@
 
 // news takes over a list that discovery sent and gives what the module is to hear of it.
 func (r *roll) news(now machine.Seconds, l *list) (choice.Listed, error) {
-	if l.Whole && r.held && *l.Seq < r.version {
-		// One that is older than what is held comes from somewhere that is behind; if it stays so, discovery began anew.
-		if r.older++; r.older < 3 {
-			return choice.Listed{}, fmt.Errorf("a whole list of version %d, but version %d is held", *l.Seq, r.version)
+	if r.held && *l.Seq < r.version {
+		// It comes from somewhere that is behind. The next call asks for all; if that stays so, discovery began anew.
+		if r.older++; !l.Whole || r.older < 3 {
+			return choice.Listed{}, fmt.Errorf("a list of version %d, but version %d is held", *l.Seq, r.version)
 		}
 	}
 	r.older = 0
@@ -158,27 +160,32 @@
 }
 
 // kept is the list as a fresh instance of the module is to hear of it.
-func (r *roll) kept(order func([]choice.Entry)) choice.Listed {
+func (r *roll) kept() choice.Listed {
 	l := choice.Listed{Kind: choice.ListKept, Version: r.version}
 	for _, s := range r.servers {
 		if s.gone == 0 {
 			l.Entries = append(l.Entries, s.entry)
 		}
 	}
-	order(l.Entries)
+	slices.SortFunc(l.Entries, func(a, b choice.Entry) int { return cmp.Compare(a.EP, b.EP) })
 	return l
 }
 
+// partial tells whether changes alone would not do.
+func (r *roll) partial() bool { return !r.held || r.older > 0 }
+
 // tidy forgets the names of servers that are gone for so long that nothing speaks of them any more.
-func (r *roll) tidy(now machine.Seconds) {
+func (r *roll) tidy(now machine.Seconds) (forgotten []choice.EP) {
 	if now < r.tidied+keepName/16 {
-		return
+		return nil
 	}
 	r.tidied = now
 	for ep, s := range r.servers {
 		if s.gone > 0 && now > s.gone+keepName {
 			delete(r.servers, ep)
 			delete(r.numbers, s.name)
+			forgotten = append(forgotten, ep)
 		}
 	}
+	return forgotten
 }
