--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -70,12 +70,13 @@
 	alarm   machine.Seconds
 	ring    choice.Token
 	stepped machine.Seconds
-	failed  machine.Seconds // when the module last failed
-	heard   machine.Seconds // when bytes last came from anybody who was accepted
-	looked  machine.Seconds // when dead streams were last looked for
-	stopped machine.Seconds // until when we last stood still
-	moved   *Bootstrap      // what is to be in force from the next step on
-	lost    map[string]int  // troubles by kind, so that a storm of them makes few lines in the log
+	failed  machine.Seconds      // when the module last failed
+	heard   machine.Seconds      // when bytes last came from anybody who was accepted
+	looked  machine.Seconds      // when dead streams were last looked for
+	stopped machine.Seconds      // until when we last stood still
+	moved   *Bootstrap           // what is to be in force from the next step on
+	lost    map[string]int       // troubles by kind, so that a storm of them makes few lines in the log
+	ill     map[choice.EP]string // servers that the module keeps out of arcs, and why, as last logged
 	figures Figures
 }
 
@@ -105,7 +106,8 @@
 
 // New makes a coordinator. A list that was held and can't be read is an error; the coordinator is usable without it.
 func New(boot Bootstrap) (*Machine, error) {
-	m := &Machine{boot: boot, roll: newRoll(), sessions: map[machine.Conn]*session{}, dialled: machine.Dialled, lost: map[string]int{}}
+	m := &Machine{boot: boot, roll: newRoll(), sessions: map[machine.Conn]*session{}, dialled: machine.Dialled, lost: map[string]int{},
+		ill: map[choice.EP]string{}}
 	m.list = caller{m: m, addr: boot.Discovery, answer: answer{most: boot.MostAnswer}}
 	m.probes = prober{m: m}
 	m.settle()
@@ -342,6 +344,7 @@
 		}
 		m.looked = now
 		m.bury(now, out)
+		m.told(out)
 	}
 	m.list.sweep(now, out)
 	m.probes.sweep(now, out)
@@ -374,6 +377,44 @@
 	}
 }
 
+// mostTold bounds the lines about servers' health in a second; what is left out is told a second later if it still holds.
+const mostTold = 8
+
+// told logs which servers the module began, or ceased, to keep out of arcs, and the figures that it goes by: on call that
+// is held against what the servers say of themselves.
+func (m *Machine) told(out *machine.Out) {
+	if m.planner == nil {
+		return
+	}
+	was, lines := m.ill, 0
+	m.ill = map[choice.EP]string{}
+	for _, b := range m.planner.Beliefs() {
+		why := ""
+		switch {
+		case b.Away:
+			why = "it answers no probes"
+		case b.Benched:
+			why = "its tries fail"
+		}
+		if why != was[b.EP] && lines < mostTold {
+			lines++
+			text := "server kept out of arcs"
+			if why == "" {
+				text = "server may be in arcs again"
+			}
+			name := ""
+			if s := m.roll.servers[b.EP]; s != nil {
+				name = s.name
+			}
+			out.Log(1, text, "backend", name, "why", why, "tries", b.Tries, "bad", b.Bad, "delay", b.Delay, "expected", b.Expected)
+			was[b.EP] = why
+		}
+		if w := was[b.EP]; w != "" {
+			m.ill[b.EP] = w
+		}
+	}
+}
+
 // read takes the messages that are whole. One that makes no sense is dropped alone; bytes that can't be read end the
 // connection.
 func (m *Machine) read(now machine.Seconds, s *session, out *machine.Out) {
