--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -406,7 +406,7 @@
 			if s := m.roll.servers[b.EP]; s != nil {
 				name = s.name
 			}
-			out.Log(1, text, "backend", name, "why", why, "tries", b.Tries, "bad", b.Bad, "delay", b.Delay, "expected", b.Expected)
+			out.Log(1, text, "backend", name, "why", why, "tries", short(b.Tries), "bad", short(b.Bad), "delay", short(b.Delay), "expected", short(b.Expected))
 			was[b.EP] = why
 		}
 		if w := was[b.EP]; w != "" {
@@ -415,6 +415,9 @@
 	}
 }
 
+// short keeps a figure fit for a log's line.
+func short(v float64) float64 { return math.Round(v*1000) / 1000 }
+
 // read takes the messages that are whole. One that makes no sense is dropped alone; bytes that can't be read end the
 // connection.
 func (m *Machine) read(now machine.Seconds, s *session, out *machine.Out) {
