--- /dev/null
+++ b/cmd/gingerfork/deploy_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// deployed reads a line of the deploy file as the platform does: name = "text", and a comment behind it.
+func deployed(t *testing.T, root, name string) string {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for l := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(strings.TrimSpace(l), name+" = "); ok {
+			quoted, err := strconv.QuotedPrefix(rest)
+			if err != nil {
+				t.Fatalf("%s: %v", l, err)
+			}
+			text, _ := strconv.Unquote(quoted)
+			return text
+		}
+	}
+	t.Fatalf("the deploy file has no line %q", name)
+	return ""
+}
+
+// The platform loads a library of its own into the coordinator's process, which only a program linked dynamically against
+// the C library takes in; a static one would run past it unnoticed.
+func TestDeployedProgramIsDynamicAndOneProcess(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	build := exec.Command("/bin/sh", "-c", deployed(t, root, "build"))
+	build.Dir = root
+	if said, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, said)
+	}
+	words := strings.Fields(deployed(t, root, "run"))
+	if len(words) < 2 || words[0] != "exec" || strings.ContainsAny(strings.Join(words, " "), ";&|`$()<>") {
+		t.Fatalf("run is %q: it does not end in one process by exec", words)
+	}
+	program, err := elf.Open(filepath.Join(root, words[1]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer program.Close()
+	if !slices.ContainsFunc(program.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+		t.Error("the program asks for no interpreter")
+	}
+	libs, err := program.ImportedLibraries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.ContainsFunc(libs, func(l string) bool { return strings.HasPrefix(l, "libc.so") }) {
+		t.Errorf("the program asks for %v, not for the C library", libs)
+	}
+}
