Loop: what is ordered of a connection that has just ended reaches nobody else

Found by reading, then forced. gnet's Write and SetLinger take the descriptor without asking whether the connection still stands (connection_unix.go write, SetLinger). Between a step that decides to write and the event loop's doing it (loop.go carry -> do) the peer may close, and a new connection may get the descriptor. Now the event loop marks what has closed, and does nothing more for it.

A dial that fails for want of our own descriptors says so (Input.Ours): that is nobody's silence.

Ruled out: Opened, Data and Closed of one connection come in order (one event loop, one mutex); bytes before a reset are read first (gnet reads on EPOLLIN|EPOLLERR before it closes); Close after Write sends what is buffered.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -92,6 +92,9 @@
 	over    bool
 	rouse   chan struct{}
 
+	sendMu sync.Mutex
+	sends  map[gnet.EventLoop][]doing // what each event loop is still to do, in order
+
 	peers  map[machine.Conn]*peer // the owner's alone
 	keeper *keeper                // nil: nothing is kept
 }
@@ -101,9 +104,11 @@
 	id      machine.Conn
 	door    int
 	conn    gnet.Conn
-	open    bool // the owner's: its Opened was handed on
-	dropped bool // the owner's: the machine closed it
-	refused bool // its event loop's: cut off
+	open    bool               // the owner's: its Opened was handed on
+	dropped bool               // the owner's: the machine closed it
+	giveUp  context.CancelFunc // the owner's: ends its dialling
+	refused bool               // its event loop's: cut off
+	closed  bool               // its event loop's: its descriptor may be another's by now
 }
 
 type mail struct {
@@ -122,7 +127,7 @@
 	if boot.Clock == nil {
 		boot.Clock = NewClock()
 	}
-	l := &Loop{boot: boot, done: make(chan struct{}), rouse: make(chan struct{}, 1), peers: map[machine.Conn]*peer{}}
+	l := &Loop{boot: boot, done: make(chan struct{}), rouse: make(chan struct{}, 1), sends: map[gnet.EventLoop][]doing{}, peers: map[machine.Conn]*peer{}}
 	l.room = sync.NewCond(&l.mu)
 	for _, addr := range boot.Listen {
 		door, err := net.Listen("tcp", addr)
@@ -262,13 +267,14 @@
 	}
 }
 
-func (l *Loop) dial(p *peer, addr string) {
+func (l *Loop) dial(ctx context.Context, p *peer, addr string) {
 	defer l.work.Done()
+	defer p.giveUp()
 	if l.boot.Via != nil {
 		addr = l.boot.Via(addr)
 	}
 	d := net.Dialer{Timeout: l.boot.DialTimeout}
-	c, err := d.DialContext(l.ctx, "tcp", addr)
+	c, err := d.DialContext(ctx, "tcp", addr)
 	if err == nil {
 		_, err = l.client.EnrollContext(c, p)
 	}
@@ -280,8 +286,18 @@
 		} else if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
 			why = "no answer"
 		}
-		l.post(mail{input: machine.Input{Kind: machine.Closed, Conn: p.id, Text: why}, peer: p})
+		l.post(mail{input: machine.Input{Kind: machine.Closed, Conn: p.id, Text: why, Ours: short(err)}, peer: p})
+	}
+}
+
+// short tells whether it was we who ran short of something: that says nothing of who was dialled.
+func short(err error) bool {
+	for _, of := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, of) {
+			return true
+		}
 	}
+	return false
 }
 
 // post puts mail into the owner's box. Where too much waits, the event loop that brings it is held until there is room:
@@ -400,33 +416,54 @@
 
 // shut closes a connection on its own event loop.
 func (l *Loop) shut(p *peer, reset bool) {
-	p.conn.EventLoop().Execute(l.ctx, gnet.RunnableFunc(func(context.Context) error {
-		if reset {
-			_ = p.conn.SetLinger(0)
-		}
-		return p.conn.Close()
+	kind := machine.Close
+	if reset {
+		kind = machine.Reset
+	}
+	_ = l.send(doing{peer: p, kind: kind})
+}
+
+// send has a connection's event loop do something. The order is kept by a queue of ours: of what is handed to gnet, what
+// comes while much waits may be done after what comes later.
+func (l *Loop) send(d doing) error {
+	on := d.peer.conn.EventLoop()
+	l.sendMu.Lock()
+	before := len(l.sends[on])
+	l.sends[on] = append(l.sends[on], d)
+	l.sendMu.Unlock()
+	if before > 0 {
+		return nil // whoever put the first in has it done
+	}
+	return on.Execute(l.ctx, gnet.RunnableFunc(func(context.Context) error {
+		l.sendMu.Lock()
+		todo := l.sends[on]
+		l.sends[on] = nil
+		l.sendMu.Unlock()
+		l.do(todo)
+		return nil
 	}))
 }
 
-// doing is what an event loop is to do for one step.
+// doing is what an event loop is to do with one connection.
 type doing struct {
 	peer  *peer
 	kind  machine.ActKind
 	bytes []byte
 }
 
-// carry does what a step wants done; writes and closes go to each event loop in one piece, in order.
+// carry does what a step wants done; writes and closes go to each event loop in order.
 func (l *Loop) carry(out *machine.Out) error {
-	var work map[gnet.EventLoop][]doing
 	for _, a := range out.Acts {
 		if a.Kind == machine.Dial {
 			p := &peer{id: a.Conn}
+			ctx, giveUp := context.WithCancel(l.ctx)
+			p.giveUp = giveUp
 			l.peers[a.Conn] = p
 			l.mu.Lock()
 			l.conns++
 			l.mu.Unlock()
 			l.work.Add(1)
-			go l.dial(p, a.Addr)
+			go l.dial(ctx, p, a.Addr)
 			continue
 		}
 		p := l.peers[a.Conn]
@@ -438,16 +475,12 @@
 			delete(l.peers, a.Conn)
 		}
 		if !p.open {
-			continue // still being dialled; it is closed as soon as it stands
-		}
-		if work == nil {
-			work = map[gnet.EventLoop][]doing{}
+			if p.dropped {
+				p.giveUp() // a descriptor less for one that is not wanted any more; should it stand already, it is closed at once
+			}
+			continue
 		}
-		on := p.conn.EventLoop()
-		work[on] = append(work[on], doing{p, a.Kind, a.Data})
-	}
-	for on, todo := range work {
-		if err := on.Execute(l.ctx, gnet.RunnableFunc(func(context.Context) error { l.do(todo); return nil })); err != nil && l.ctx.Err() == nil {
+		if err := l.send(doing{p, a.Kind, a.Data}); err != nil && l.ctx.Err() == nil {
 			return fmt.Errorf("hand writes to an event loop: %w", err)
 		}
 	}
@@ -474,6 +507,10 @@
 func (l *Loop) do(todo []doing) {
 	for _, d := range todo {
 		c := d.peer.conn
+		// It may have ended since this was decided, and gnet writes to a descriptor whoever has it by now.
+		if d.peer.closed {
+			continue
+		}
 		switch d.kind {
 		case machine.Write:
 			if d.peer.refused {
@@ -555,6 +592,7 @@
 
 func (h *handler) OnClose(c gnet.Conn, err error) gnet.Action {
 	if p, ok := c.Context().(*peer); ok {
+		p.closed = true
 		h.l.less()
 		why := "closed by the other side"
 		if p.refused {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -44,7 +44,7 @@
 		e.due = 0
 	}
 	for _, i := range in {
-		e.seen = append(e.seen, machine.Input{Kind: i.Kind, Conn: i.Conn, Door: i.Door, Text: i.Text})
+		e.seen = append(e.seen, machine.Input{Kind: i.Kind, Conn: i.Conn, Door: i.Door, Text: i.Text, Ours: i.Ours})
 		switch i.Kind {
 		case machine.Opened:
 			e.conns = append(e.conns, i.Conn)
@@ -217,7 +217,7 @@
 
 // Descriptors that run out stop new connections for a while, not the old ones, and not for good.
 func TestDescriptorsRunOut(t *testing.T) {
-	l, _ := start(t, Bootstrap{})
+	l, e := start(t, Bootstrap{})
 	old := dial(t, l.Addrs()[0])
 	fmt.Fprint(old, "x")
 	if _, err := io.ReadFull(old, make([]byte, 1)); err != nil {
@@ -262,6 +262,11 @@
 	}
 	defer c.Close()
 	eventually(t, "the shortage", func() bool { return l.Figures().Refused > 0 })
+	// Who is dialled meanwhile is not to blame: the end of that says that the want was ours.
+	l.Tell("dial " + l.Addrs()[0])
+	eventually(t, "the dial that had no descriptor", func() bool {
+		return e.count(func(i machine.Input) bool { return i.Kind == machine.Closed && i.Conn == machine.Dialled+1 && i.Ours }) == 1
+	})
 	fmt.Fprint(old, "y")
 	if _, err := io.ReadFull(old, make([]byte, 1)); err != nil {
 		t.Fatal("a standing connection suffered:", err)
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -35,6 +35,7 @@
 	Door int // of the machine's listening addresses, which one
 	Data []byte
 	Text string
+	Ours bool // Closed: it could not be opened for want of something of our own, which says nothing of the other side
 	N    uint64
 }
 
