Platform: rare moments of discovery, streams, probes, logs; settings made for other customers

Forced on loopback: a kept connection that ends just as the next call is written was told as a failure, with a gap of 0.25 to 0.75 s (discovery.go data); the call is repeated at once, within the 200 ms that keep a watch. A new address was not asked before the old one's pause was over, up to 5 s. An older connection's late joining took the stream from the later one. Probes of a former process were held against the new one (probe.go end). Collectors cut off without a word kept their descriptors for good. A reader of the log that stopped reading held up the coordinator, one that went away ended it (SIGPIPE). A taken address at start ended it. A panic outside inputs and module ended it.

--- a/cmd/gingerfork/node.go
+++ b/cmd/gingerfork/node.go
@@ -28,12 +28,20 @@
 	again := make(chan os.Signal, 1) // before anything else: a SIGHUP that comes while we start must not end the process
 	signal.Notify(again, syscall.SIGHUP)
 	defer signal.Stop(again)
+	signal.Ignore(syscall.SIGPIPE) // who ends the reading of our log must not end us
 	s, err := readStart()
 	if err != nil {
 		return badError{err}
 	}
 	limit(s)
-	log := slog.New(zerolog.NewSlogHandler(zerolog.New(p.err).With().Timestamp().Logger())).With("instance", s.Name)
+	lines := newSpill(p.err, logRoom)
+	defer func() {
+		// The log's last lines are worth a moment, not more: a planned restart goes on to SIGKILL.
+		late := make(chan struct{})
+		defer time.AfterFunc(logEnd, func() { close(late) }).Stop()
+		lines.end(late)
+	}()
+	log := slog.New(zerolog.NewSlogHandler(zerolog.New(lines).With().Timestamp().Logger())).With("instance", s.Name)
 	clock := loop.NewClock()
 	m, err := platform.New(s.Bootstrap(clock.Now()))
 	if err != nil {
@@ -43,10 +51,13 @@
 	if s.Memory > 0 {
 		boot.MostOut, boot.MostIn = int(min(4<<20, s.Memory/32)), int(min(64<<20, s.Memory/16))
 	}
-	l, err := loop.Start(ctx, boot)
+	l, err := listen(ctx, func() (*loop.Loop, error) { return loop.Start(ctx, boot) })
 	if err != nil {
 		return badError{err}
 	}
+	if l == nil {
+		return nil // told to end before there was anything to end
+	}
 	log.Info("coordinator started", "listen", s.Listen, "discovery", s.Discovery, "cores", s.Cores, "memory", s.Memory, "sockets", s.Sockets,
 		"proxies", s.Values["proxies"], "listing", s.Values["listing"])
 	for {
@@ -75,6 +86,27 @@
 	}
 }
 
+// listen starts the loop. Its address may still be the former process's, which was killed a moment ago: that is waited for.
+func listen(ctx context.Context, start func() (*loop.Loop, error)) (*loop.Loop, error) {
+	for end := time.Now().Add(portWait); ; {
+		l, err := start()
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return l, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-time.After(portWait / 40):
+		}
+	}
+}
+
+const (
+	portWait = 4 * time.Second // a killed process gives its address back far sooner, and a restart must be ready in 6 s
+	logRoom  = 4096            // lines
+	logEnd   = 200 * time.Millisecond
+)
+
 func readStart() (*platform.Start, error) {
 	name := os.Getenv(platform.EnvFile)
 	if name == "" {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -21,15 +21,39 @@
 	waits   bool         // it is one that may wait
 	whole   bool         // it asks for the whole list
 	fetch   bool         // the module asked for the whole list meanwhile
+	kept    bool         // the connection has carried an answer already
+	wrote   machine.Seconds
 	due     machine.Seconds
 	answer  answer
 }
 
+// The platform's figures. A watch goes on if the next call comes within watchGap of the last answer. What discovery has to
+// tell counts as told toldWithin later, whether it came or not, and toldAfter past the end of a call that waits: so nobody
+// may wait for an answer for longer than that, whatever the settings allow between two calls.
+const (
+	watchGap   machine.Seconds = 0.2
+	toldWithin machine.Seconds = 6
+	toldAfter  machine.Seconds = 2
+)
+
+// within is how long we may go without asking; settings of who has his lists pushed elsewhere have no such figure.
+func (d *caller) within() machine.Seconds {
+	if v := d.m.boot.Module.Num("ask_within", 0); v > 0 {
+		return v
+	}
+	return 10
+}
+
 // span is how long a waiting call waits: well inside the time after which we would count as told.
-func (d *caller) span() machine.Seconds { return d.m.boot.Module.Num("ask_within", 10) / 2 }
+func (d *caller) span() machine.Seconds { return min(d.within()/2, toldWithin) }
 
-// patience is how long an answer may take beyond what the call waits.
-func (d *caller) patience() machine.Seconds { return d.m.boot.Module.Num("ask_within", 10) / 5 }
+// patience is how long an answer may take beyond what the call waits. Asking again must still come before we count as told.
+func (d *caller) patience() machine.Seconds {
+	if d.waits {
+		return min(max(d.within()/5, toldAfter/2), 3*toldAfter/4)
+	}
+	return min(max(d.within()/5, toldAfter/2), toldAfter)
+}
 
 func (d *caller) watch(now machine.Seconds, out *machine.Out) {
 	if !d.calling {
@@ -55,7 +79,7 @@
 	d.due = now + d.patience()
 	d.answer.reset()
 	if d.conn == 0 {
-		d.conn, d.up = d.m.dial(d.addr, out), false
+		d.conn, d.up, d.kept = d.m.dial(d.addr, out), false, false
 		d.m.sessions[d.conn] = &session{conn: d.conn, role: listRole}
 	}
 	if d.up {
@@ -64,7 +88,7 @@
 }
 
 func (d *caller) ask(now machine.Seconds, out *machine.Out) {
-	d.asked = true
+	d.asked, d.wrote = true, now
 	path := "/api/targets"
 	d.due = now + d.patience()
 	if !d.whole {
@@ -98,15 +122,24 @@
 		}
 		return
 	}
+	if ended && len(d.answer.buf) == 0 && d.kept && now <= d.wrote+watchGap {
+		// Discovery ended an idle connection just as we wrote: it never saw the call, and says nothing by that. Asking may
+		// be repeated without harm, and at once the watch goes on. A call that had waited, or the end of a new connection, is a
+		// failure: who ends calls because too many come must not be asked at once.
+		d.call(now, d.waits, d.whole, out)
+		return
+	}
 	if ended && len(d.answer.buf) == 0 {
 		d.fail(now, "the connection ended: "+why, out)
 		return
 	}
 	status, body, reuse, whole, err := d.answer.feed(b, ended)
+	d.kept = d.kept || whole
 	switch {
 	case err != nil:
 		d.fail(now, err.Error(), out)
 	case !whole:
+		return
 	case status != http.StatusOK:
 		if !reuse {
 			d.drop(out)
@@ -166,16 +199,16 @@
 }
 
 // move goes on at another address. What is held stays, and so does what a call that was under way would have told: the
-// first call at the new address asks for all since.
+// first call at the new address asks for all since. It does not wait for what is left of a pause after failures: those were
+// the old address's, and past the time that a move allows everything counts as told.
 func (d *caller) move(now machine.Seconds, addr string, out *machine.Out) {
 	if addr == d.addr {
 		return
 	}
+	whole := d.fetch || d.calling && d.whole || d.m.roll.partial()
 	d.drop(out)
-	d.addr = addr
-	if d.calling {
-		d.call(now, false, d.m.roll.partial(), out)
-	}
+	d.addr, d.fetch = addr, false
+	d.call(now, false, whole, out)
 }
 
 func (d *caller) sweep(now machine.Seconds, out *machine.Out) {
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -7,13 +7,22 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 )
 
-// answer gathers the bytes of one HTTP answer, which net/http's own reader then reads.
+// answer gathers the bytes of one HTTP answer, which net/http's own reader then reads: its head once it is there, and all of it
+// once it is whole. That reader takes what is not there yet for an answer that broke off, in more than one way, and would have
+// to begin anew with each piece.
 type answer struct {
-	buf  []byte
-	most int
-	need int // bytes under which there is no use in reading; 0: not known
+	buf     []byte
+	most    int
+	seen    int  // bytes that were looked through for the head's end
+	head    bool // it is there, and says:
+	chunked bool
+	length  int // of the body; -1: not told
+	at      int // where the body begins; in chunks, where the next chunk does
+	trailer bool
+	reads   int
 }
 
 var errTooLong = errors.New("an HTTP answer that is too long")
@@ -24,36 +33,80 @@
 	if len(a.buf) > a.most {
 		return 0, nil, false, false, errTooLong
 	}
-	if !ended && (len(a.buf) < a.need || !bytes.Contains(a.buf, []byte("\r\n\r\n")) && len(a.buf) < 1<<14) {
+	if !a.head {
+		found := bytes.Contains(a.buf[max(0, a.seen-3):], []byte("\r\n\r\n"))
+		if a.seen = len(a.buf); !found && !ended && len(a.buf) < 1<<14 {
+			return 0, nil, false, false, nil
+		}
+		r, left, err := a.read()
+		if err != nil {
+			return 0, nil, false, false, err
+		}
+		a.head, a.chunked, a.length, a.at = true, len(r.TransferEncoding) > 0, int(min(r.ContentLength, 1<<40)), len(a.buf)-left()
+		r.Body.Close()
+		if a.length > a.most {
+			return 0, nil, false, false, errTooLong
+		}
+	}
+	switch {
+	case ended:
+	case a.chunked:
+		if !a.chunks() {
+			return 0, nil, false, false, nil
+		}
+	case a.length < 0 || len(a.buf) < a.at+a.length:
 		return 0, nil, false, false, nil
 	}
-	src := bytes.NewReader(a.buf)
-	in := bufio.NewReader(src)
-	r, err := http.ReadResponse(in, nil)
+	r, left, err := a.read()
 	if err != nil {
-		return 0, nil, false, false, fmt.Errorf("an answer that is not HTTP: %w", err)
+		return 0, nil, false, false, err
 	}
 	defer r.Body.Close()
-	if n := r.ContentLength; n >= 0 && !ended {
-		if int(min(n, 1<<40)) > a.most {
-			return 0, nil, false, false, errTooLong
+	if body, err = io.ReadAll(r.Body); err != nil {
+		return 0, nil, false, false, fmt.Errorf("an HTTP answer that broke off: %w", err)
+	}
+	return r.StatusCode, body, !r.Close && left() == 0, true, nil
+}
+
+// read begins to read what is there; left tells how much of it was not read.
+func (a *answer) read() (r *http.Response, left func() int, err error) {
+	a.reads++
+	src := bytes.NewReader(a.buf)
+	in := bufio.NewReader(src)
+	if r, err = http.ReadResponse(in, nil); err != nil {
+		return nil, nil, fmt.Errorf("an answer that is not HTTP: %w", err)
+	}
+	return r, func() int { return src.Len() + in.Buffered() }, nil
+}
+
+// chunks goes on along the chunks and tells whether their end is there. What is no chunk counts as the end: the reader says so.
+func (a *answer) chunks() bool {
+	for {
+		rest := a.buf[a.at:]
+		n := bytes.IndexByte(rest, '\n')
+		if n < 0 {
+			return len(rest) > 1<<12
 		}
-		a.need = len(a.buf) - src.Len() - in.Buffered() + int(n)
-		if len(a.buf) < a.need {
-			return 0, nil, false, false, nil
+		text := bytes.TrimSpace(rest[:n])
+		if a.trailer {
+			if a.at += n + 1; len(text) == 0 {
+				return true
+			}
+			continue
+		}
+		digits, _, _ := bytes.Cut(text, []byte{';'})
+		size, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 31)
+		switch {
+		case err != nil:
+			return true
+		case size == 0:
+			a.trailer, a.at = true, a.at+n+1
+		case len(rest) < n+1+int(size)+2:
+			return false
+		default:
+			a.at += n + 1 + int(size) + 2
 		}
 	}
-	body, err = io.ReadAll(r.Body)
-	switch {
-	case err != nil && !ended && errors.Is(err, io.ErrUnexpectedEOF):
-		return 0, nil, false, false, nil // chunked, and more chunks to come
-	case err != nil:
-		return 0, nil, false, false, fmt.Errorf("an HTTP answer that broke off: %w", err)
-	case r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !ended:
-		return 0, nil, false, false, nil // it ends with the connection
-	}
-	left := src.Len() + in.Buffered()
-	return r.StatusCode, body, !r.Close && left == 0, true, nil
 }
 
-func (a *answer) reset() { a.buf, a.need = nil, 0 }
+func (a *answer) reset() { *a = answer{most: a.most} }
--- a/internal/platform/line/line.go
+++ b/internal/platform/line/line.go
@@ -186,13 +186,13 @@
 	case kindBeat:
 		m = Beat{}
 	case kindCollector:
-		m = Collector{w.text("zone")}
+		m = Collector{w.zone()}
 	case kindJoin:
-		m = Join{w.whole("proxy", mostProxy), w.text("zone"), w.num("weight", mostFigure), w.flag("fresh")}
+		m = Join{w.whole("proxy", mostProxy), w.zone(), w.num("weight", mostFigure), w.flag("fresh")}
 	case kindAnswer:
 		m = Answer{w.whole("proxy", mostProxy), w.whole("mark", mostProxy), w.num("took_ms", mostTime) / 1000}
 	case kindTries:
-		m = Tries{w.text("zone"), w.text("server"), w.whole("tries", mostFigure), w.whole("failed", mostFigure),
+		m = Tries{w.zone(), w.text("server"), w.whole("tries", mostFigure), w.whole("failed", mostFigure),
 			w.num("mean_ms", mostTime) / 1000, w.span(), w.load()}
 		if t := m.(Tries); t.Bad > t.Tries {
 			w.fail("failed is more than tries")
@@ -242,6 +242,17 @@
 	return v
 }
 
+// zone must be there, but where there is only one its name may be empty.
+func (w *words) zone() string {
+	v, ok := w.find("zone")
+	if !ok {
+		w.fail("zone is missing")
+	} else if len(v) > 128 {
+		w.fail("zone is too long")
+	}
+	return v
+}
+
 func (w *words) num(name string, most float64) float64 {
 	v, err := strconv.ParseFloat(w.text(name), 64)
 	switch {
--- a/internal/platform/line/line_test.go
+++ b/internal/platform/line/line_test.go
@@ -57,7 +57,7 @@
 // A spoilt message is lost alone, what stands beside it counts.
 func TestSpoiltAlone(t *testing.T) {
 	for _, bad := range []string{"attach proxy=17 zone=a weight=21.5", "attach proxy=-1 zone=a weight=1 fresh=1", "attach proxy=1.5 zone=a weight=1 fresh=1",
-		"attach proxy=1 zone=a weight=NaN fresh=1", "attach proxy=1 zone=a weight=1 fresh=yes", "attach proxy=1 zone= weight=1 fresh=1", "done proxy=1 mark=70000 took_ms=1",
+		"attach proxy=1 zone=a weight=NaN fresh=1", "attach proxy=1 zone=a weight=1 fresh=yes", "attach proxy=1 weight=1 fresh=1", "attach proxy=1 zone weight=1 fresh=1", "done proxy=1 mark=70000 took_ms=1",
 		"done proxy=1 mark=x took_ms=1", "done proxy=1 mark=1 took_ms=-3", "done proxy=1 mark=1 took_ms=Inf", "done proxy=1 mark=1 mark=2 took_ms=1",
 		"upstream_stats zone=a server=s-1 tries=2 failed=3 mean_ms=1 span_ms=1", "upstream_stats zone=a server=s-1 tries=2 failed=1 mean_ms=1 span_ms=0",
 		"upstream_stats zone=a server=s-1 tries=2 failed=1 mean_ms=1 span_ms=1 load=x", "client_stats proxy=1 class=a tries=1e300 failed=0 span_ms=1",
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -47,24 +47,27 @@
 	reader line.Reader
 	stream *stream
 	probe  *probe
+	zone   string          // a collector's
+	heard  machine.Seconds // a collector's: when bytes last came
 }
 
 // Machine is the coordinator.
 type Machine struct {
-	boot     Bootstrap
-	planner  *choice.Planner
-	book     *fanout.Book
-	roll     *roll
-	list     caller
-	probes   prober
-	sessions map[machine.Conn]*session
-	strange  []*session // that have not joined, oldest first; others among them are passed over
-	streams  []*stream  // by proxy, nil where none is joined
-	methods  []string
-	zones    map[string]bool
-	soft     machine.Seconds // the shortest soft deadline
-	round    machine.Seconds
-	dialled  machine.Conn
+	boot       Bootstrap
+	planner    *choice.Planner
+	book       *fanout.Book
+	roll       *roll
+	list       caller
+	probes     prober
+	sessions   map[machine.Conn]*session
+	strange    []*session // that have not joined, oldest first; others among them are passed over
+	streams    []*stream  // by proxy, nil where none is joined
+	collectors []*session // collectors, also some that are gone
+	methods    []string
+	zones      map[string]bool
+	soft       machine.Seconds // the shortest soft deadline
+	round      machine.Seconds
+	dialled    machine.Conn
 
 	events  []choice.Event
 	alarm   machine.Seconds
@@ -87,7 +90,8 @@
 	Steps, Orders                    int
 	Refused, Evicted, Spoilt, Broken int
 	Stale                            int // answers to marks not in flight
-	Buried                           int // streams silent for too long
+	Buried                           int // streams and collectors silent for too long
+	Outdated                         int // results of probes whose server is another by now
 	Failures                         int // of the module
 	Panics                           int // at inputs
 	Streams                          int // joined now
@@ -133,9 +137,14 @@
 	if math.IsInf(m.soft, 1) {
 		m.soft = 1
 	}
-	// Counted by what is there: the simulator's settings carry the zones' number under another name than their words.
-	for i := 0; b.Word(fmt.Sprintf("zones.%d", i)) != ""; i++ {
-		m.zones[b.Word(fmt.Sprintf("zones.%d", i))] = true
+	// Counted by what is there: the simulator's settings carry the zones' number under another name than their words. Where
+	// there is but one place, its name may be empty.
+	for i := 0; ; i++ {
+		zone, ok := b.Values[fmt.Sprintf("zones.%d", i)].(string)
+		if !ok {
+			break
+		}
+		m.zones[zone] = true
 	}
 	m.round = b.Num("tick", 0)
 	m.streams = make([]*stream, min(max(int(b.Num("proxies", 0)), 0), 1<<16))
@@ -165,13 +174,13 @@
 	for _, i := range in {
 		m.guarded(now, i, out)
 	}
-	m.sweep(now, out)
+	m.survive(now, out, m.sweep)
 	if due := now >= m.alarm; due || len(m.events) > 0 && now >= m.stepped+m.round {
 		if due {
 			m.events = append(m.events, choice.Due{Token: m.ring})
 			m.alarm = now + 3600
 		}
-		m.decide(now, out)
+		m.survive(now, out, m.decide)
 	}
 	if len(m.events) > 0 {
 		out.At(m.stepped + m.round)
@@ -197,6 +206,17 @@
 
 const shortest machine.Seconds = 1e-4
 
+// survive has something done that concerns all connections. Should it panic, a fresh instance of the module begins: the end of
+// the process would leave every proxy alone.
+func (m *Machine) survive(now machine.Seconds, out *machine.Out, what func(machine.Seconds, *machine.Out)) {
+	defer func() {
+		if r := recover(); r != nil {
+			m.restart(now, fmt.Errorf("a step failed: %v\n%s", r, debug.Stack()), out)
+		}
+	}()
+	what(now, out)
+}
+
 func (m *Machine) renew(now machine.Seconds, out *machine.Out) {
 	if m.moved == nil {
 		return
@@ -270,7 +290,11 @@
 		case listRole:
 			m.list.data(now, nil, true, i.Text, out)
 		case probeRole:
-			m.probes.data(now, s, nil, true, out)
+			if i.Ours {
+				m.probes.unasked(now, s, out)
+			} else {
+				m.probes.data(now, s, nil, true, out)
+			}
 		case proxyRole:
 			m.leave(s.stream)
 		}
@@ -287,6 +311,7 @@
 			if s.role == proxyRole {
 				s.stream.heard = now
 			}
+			s.heard = now
 			m.heard = now
 			s.reader.Feed(i.Data)
 			m.read(now, s, out)
@@ -344,6 +369,7 @@
 		}
 		m.looked = now
 		m.bury(now, out)
+		m.replace(now, out)
 		m.tellHealth(out)
 	}
 	m.list.sweep(now, out)
@@ -377,6 +403,28 @@
 	}
 }
 
+// replace ends collectors' connections that are silent while a later one of the same zone speaks: the collector was cut off
+// without a word and is back, and nothing else would ever give the old descriptor back.
+func (m *Machine) replace(now machine.Seconds, out *machine.Out) {
+	m.collectors = slices.DeleteFunc(m.collectors, func(s *session) bool { return m.sessions[s.conn] != s })
+	newest := map[string]*session{}
+	for _, s := range m.collectors {
+		if x := newest[s.zone]; x == nil || s.conn > x.conn {
+			newest[s.zone] = s
+		}
+	}
+	for _, s := range m.collectors {
+		x := newest[s.zone]
+		if x == s || x.heard <= s.heard || now < max(s.heard, m.stopped)+m.silence() {
+			continue
+		}
+		m.figures.Buried++
+		m.often(out, "replaced", 2, "a collector was silent while a later one of its zone spoke, its connection ends", "zone", s.zone, "silent", now-s.heard)
+		delete(m.sessions, s.conn)
+		out.Kill(s.conn)
+	}
+}
+
 // mostTold bounds the lines about servers' health in a second; what is left out is told a second later if it still holds.
 const mostTold = 8
 
@@ -490,7 +538,8 @@
 			if !m.zones[x.Zone] {
 				return spoilt("collector", "zone %.32q is not one of ours", x.Zone)
 			}
-			s.role, s.reader.Most = collectorRole, lineMost
+			s.role, s.reader.Most, s.zone = collectorRole, lineMost, x.Zone
+			m.collectors = append(m.collectors, s)
 			out.Log(1, "collector joined", "zone", x.Zone)
 			return nil
 		case line.Join:
@@ -551,6 +600,10 @@
 		return spoilt("joining", "proxy %d or zone %.32q does not exist", x.Proxy, x.Zone)
 	}
 	if old := m.streams[x.Proxy]; old != nil {
+		if s.conn < old.session.conn {
+			// It was opened before the stream that stands, and its joining was late: the proxy gave it up for the other.
+			return spoilt("joining", "proxy %d is joined by a later stream", x.Proxy)
+		}
 		// The older stream is a dead one whose end we have not seen; its late end must change nothing.
 		m.figures.Superseded++
 		delete(m.sessions, old.session.conn)
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -13,6 +13,7 @@
 // probe is one that is under way, on a connection of its own.
 type probe struct {
 	ep     choice.EP
+	entry  choice.Entry // as listed when it began
 	began  machine.Seconds
 	addr   string
 	answer answer
@@ -40,7 +41,7 @@
 		if s == nil || s.addr == "" {
 			continue
 		}
-		x := &session{conn: p.m.dial(s.addr, out), role: probeRole, probe: &probe{ep: ep, began: now, addr: s.addr, answer: answer{most: 1 << 14}}}
+		x := &session{conn: p.m.dial(s.addr, out), role: probeRole, probe: &probe{ep: ep, entry: s.entry, began: now, addr: s.addr, answer: answer{most: 1 << 14}}}
 		p.m.sessions[x.conn] = x
 		p.active = append(p.active, x)
 	}
@@ -57,6 +58,14 @@
 	out.Write(s.conn, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, s.probe.addr))
 }
 
+// unasked ends a probe that could not be sent for want of something of ours: the server is not to blame.
+func (p *prober) unasked(now machine.Seconds, s *session, out *machine.Out) {
+	p.m.often(out, "unasked", 2, "a probe could not be sent", "addr", s.probe.addr)
+	delete(p.m.sessions, s.conn)
+	p.active = slices.DeleteFunc(p.active, func(x *session) bool { return x == s })
+	p.next(now, out)
+}
+
 func (p *prober) data(now machine.Seconds, s *session, b []byte, ended bool, out *machine.Out) {
 	status, body, _, whole, err := 0, []byte(nil), false, false, error(nil)
 	if len(s.probe.answer.buf)+len(b) > 0 {
@@ -85,8 +94,14 @@
 	}
 	delete(p.m.sessions, s.conn)
 	p.active = slices.DeleteFunc(p.active, func(x *session) bool { return x == s })
-	r.EP, r.Delay = s.probe.ep, now-s.probe.began
-	p.m.events = append(p.m.events, r)
+	// What the list told meanwhile, that the server is gone, started anew or elsewhere, the probe knows nothing of: its result
+	// is the former process's and must not be held against the present one, nor speak for it.
+	if at := p.m.roll.servers[s.probe.ep]; at != nil && at.gone == 0 && at.entry.Start == s.probe.entry.Start && at.addr == s.probe.addr {
+		r.EP, r.Delay = s.probe.ep, now-s.probe.began
+		p.m.events = append(p.m.events, r)
+	} else {
+		p.m.figures.Outdated++
+	}
 	p.next(now, out)
 }
 
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -78,6 +78,11 @@
 		s.Seed = seed
 	}
 	s.Values = flatten(doc.Settings)
+	// Whatever else the settings were made for, here nobody pushes a list: who does not ask never hears of a change.
+	s.Values["listing"] = "asked"
+	if v, _ := s.Values["ask_within"].(float64); v <= 0 {
+		delete(s.Values, "ask_within") // 0 stands for no such limit, not for asking without a pause
+	}
 	if n, _ := s.Values["method.n"].(float64); n < 1 || n > 63 {
 		return nil, errors.New("the settings name no methods, or more than 63")
 	}
