Choice: a zone is as full as crossings cost; cold servers' urgency goes by their ease

Seen: a burst of half as much again at 10 to 17 s, 52 to 66% in time, most lost by time-outs, and usage before it 1.8 to 2.4 times the mean at the fullest server. At fault: ring.deal let a server take 1 + (fair-1)/root(our part) of its part, with five coordinators 2.1 times, though a zone full for one is full for all, and reckoned that on what proxies ask by now while arcs carry what they were sized for, so a burst widened it by as much.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,7 +19,8 @@
 	arcLeast     = 3    // servers in an arc
 	coverage     = 2    // arcs over each server
 	fairLeast    = 1.1  // of its part of the usage, what a server takes before arcs pass, if answers are slow
-	fairMost     = 1.5  // and when they are quick, so that arcs keep to their zone
+	fairMost     = 1.5  // and at most when they are quick, so that arcs keep to their zone
+	fairPrice    = 3.5  // times what crossings cost, which it may be above fairLeast
 	arcMean      = 6.0  // servers in an arc, on average
 	usageSpan    = 30.0 // seconds over which usage is averaged
 	resizeBy     = 2    // an arc's size moves by no less
@@ -46,6 +47,7 @@
 	gateSpan     = 4.0  // seconds over which the gate looks back
 	jamPart      = 0.5  // servers jammed together that mean overload, not single failures
 	ordinaryPart = 0.6  // of the messages and lines allowed, what the ordinary path may use
+	urgentPart   = 0.9  // and of the messages, what tables that can't wait may; the rest is for withdrawals
 )
 
 // KeepPlace is how long what left or is gone keeps its place, in seconds: long after any order, sum or probe
@@ -411,24 +413,29 @@
 	r.lines = max(1, coverage*float64(len(r.order)), arcMean*float64(len(walks)))
 	r.frail = c.frail(asks / r.lines)
 	slices.SortStableFunc(walks, func(a, b *walk) int { return cmp.Compare(b.p.held, a.p.held) })
-	// The lumps of other planners' arcs add to ours by the root; a full zone is full for all of them.
-	lump := 1 / math.Sqrt(max(c.ours(), 1e-3))
-	bound := (asks + sum(away)) * (1 + (c.gate.fair-1)*lump) / room
 	for _, i := range r.order { // what a zone keeps to itself is not for cold ones
 		if c.ease[i] < 1 {
-			c.part[i] *= (1 + (fairLeast-1)*lump) / (1 + (c.gate.fair-1)*lump)
+			c.part[i] *= fairLeast / c.gate.fair
 		}
 	}
 	if c.gate.first == 0 { // until the first sums proxies join one by one; all anew lies evener
 		c.carry = make([]float64, len(c.id))
 	}
+	held := 1e-9
 	for _, w := range walks {
 		n := float64(w.p.resize(r.lines/asks, len(r.order)))
+		if w.s == w.p.sheets[0] {
+			held += w.p.held
+		}
 		w.fill, w.least, w.per = n*mean, min(n, arcLeast), w.p.held/n/mean
 		if (!w.p.settled || c.gate.first == 0) && len(r.order) > 0 {
 			r.settle(w, n)
 		}
 	}
+	// What is dealt is what arcs were sized for: beside what all ask by now, a zone would seem to have room in a
+	// burst. And no more for there being many planners, though the lumps of their arcs add to ours by the root
+	// only: a full zone is full for all of them.
+	bound := (held + sum(away)) * c.gate.fair / room
 	c.carry, c.cover, r.took = make([]float64, len(c.id)), make([]int, len(c.id)), make([]*walk, len(c.id))
 	others := make([]float64, len(c.id))
 	for z, turn := range r.near {
@@ -501,7 +508,7 @@
 		w.s.want = make([]line, len(w.arc))
 		slices.Sort(w.arc)
 		for k, i := range w.arc {
-			w.s.want[k] = line{i, c.weight[i] * c.ease[i]}
+			w.s.want[k] = line{i, c.weight[i] * c.ease[i], c.ease[i]}
 		}
 		if !slices.Equal(was, w.s.want) {
 			c.stir(w.p)
@@ -552,7 +559,7 @@
 func (p *proxy) flush() {
 	c := p.c
 	silent := p.flying && c.now > p.left+silence*c.channel.usual
-	urgent := slices.ContainsFunc(p.sheets, p.urgent)
+	urgent := slices.ContainsFunc(p.sheets, p.urgent) && c.channel.few(p, urgentPart)
 	p.waits = silent || !p.bound || slices.ContainsFunc(p.sheets, p.differs)
 	if !p.waits || !urgent && (p.flying && !silent || !c.channel.room(p)) {
 		return
@@ -573,7 +580,8 @@
 func (p *proxy) urgent(s *sheet) bool {
 	c := p.c
 	usable := func(l line) bool { return !c.shut[l.ep] }
-	cold := func(l line) bool { return c.ease[l.ep] < 1 && l.w > 1.3*c.ease[l.ep]*c.weight[l.ep] }
+	// By its ease, not its weight: lists that follow the load lower the weight of one that is as warm as before.
+	cold := func(l line) bool { return l.ease > 1.3*c.ease[l.ep] }
 	return p.bound && (slices.ContainsFunc(s.told, cold) ||
 		!slices.ContainsFunc(s.told, usable) && slices.ContainsFunc(s.want, usable))
 }
@@ -600,7 +608,7 @@
 		oldest = min(oldest, cmp.Or(since, oldest))
 	}
 	hold := max(0, c.boot.Num("drain_grace", 1)-c.boot.Num("push_time_worst", 0.4)-3*c.channel.usual) / 2
-	crowded := func(p *proxy) bool { return p.joined && !c.channel.few(p) }
+	crowded := func(p *proxy) bool { return p.joined && !c.channel.few(p, ordinaryPart) }
 	if math.IsInf(oldest, 1) || c.now < oldest+hold && slices.ContainsFunc(c.proxies, crowded) {
 		return
 	}
@@ -672,18 +680,18 @@
 	}
 }
 
-// few tells whether a proxy has had so few messages of late that the ordinary path may send more: part of
-// the limit stays free for what can't be put off.
-func (h *channel) few(p *proxy) bool {
+// few tells whether a proxy has had so few messages of late that another keeps within part of the limit: the
+// rest stays free for what can't be put off.
+func (h *channel) few(p *proxy, part float64) bool {
 	most, span := h.c.boot.Num("messages", 0), h.c.boot.Num("messages_span", 10)
 	p.sent = slices.DeleteFunc(p.sent, func(at Seconds) bool { return at < h.c.now-span-1 })
-	return most == 0 || float64(len(p.sent)+1) <= ordinaryPart*most
+	return most == 0 || float64(len(p.sent)+1) <= part*most
 }
 
 // room tells whether an ordinary push fits. One that rides with a withdrawal is no message more.
 func (h *channel) room(p *proxy) bool {
 	fits := float64(h.lines()+p.cost()) < ordinaryPart*h.c.boot.Num("channel_room", math.Inf(1))
-	return fits && (!p.bound || p.due > 0 || h.few(p))
+	return fits && (!p.bound || p.due > 0 || h.few(p, ordinaryPart))
 }
 
 // free is when a method's RPCs are tried again while there is no jam. After proof only, idempotent ones
@@ -760,7 +768,10 @@
 	}
 	room := c.room()
 	g.slow, g.struck = slow/max(good, 1e-9), struck/met
-	g.fair += 0.2 * (fairLeast + (fairMost-fairLeast)*min(1, max(0, 2-4*g.slow)) - g.fair)
+	// A zone with more than its part is the first to jam when a burst comes, and then it is late for a new deal:
+	// it may be that full only as far as it saves what crossings cost.
+	most := min(fairMost, fairLeast+fairPrice*c.boot.Num("price.crossing", 0))
+	g.fair += 0.2 * (fairLeast + (most-fairLeast)*min(1, max(0, 2-4*g.slow)) - g.fair)
 	// Answers that are still told of while nothing is open, as when the list emptied, are nobody's rate.
 	if room > 1e-6 {
 		g.rate += 0.3 * (good/room - g.rate)
--- a/choice/state.go
+++ b/choice/state.go
@@ -489,7 +489,7 @@
 	}
 	for _, l := range from {
 		if _, ok := old[l.ep]; ok {
-			lines = append(lines, line{l.ep, 0})
+			lines = append(lines, line{ep: l.ep})
 		}
 	}
 	return lines
--- a/choice/types.go
+++ b/choice/types.go
@@ -242,10 +242,11 @@
 	}
 )
 
-// line is one line of a table: a backend, by its dense index, and a weight.
+// line is one line of a table: a backend, by its dense index, a weight, and the ease that is in it.
 type line struct {
-	ep int
-	w  float64
+	ep   int
+	w    float64
+	ease float64
 }
 
 // sheet is a table of one proxy for some methods: what it should hold, and what was sent.
