Platform: streams that end anywhere, and answers to a former stream's marks, on sockets

Ruled out as faults: a reset after each byte of a joining, its answer and its report leaves nothing behind and delays nobody; a new stream's answer to the former one's mark is nobody's, and its whole table has its levels. Both pass as the program stood; they hold it there.

--- a/internal/platform/rare_test.go
+++ b/internal/platform/rare_test.go
@@ -525,3 +525,64 @@
 		t.Errorf("it was read %d times", tries)
 	}
 }
+
+// A proxy's connection is reset after each byte of its joining and answer: nothing of it stays, and others are served.
+func TestStreamsThatEndAnywhere(t *testing.T) {
+	x := newScene(t, nil)
+	w := x.disco.accept()
+	w.asked()
+	w.answer(listed(41, true, 3, "127.0.0.1:1", 0))
+	stays := x.dial()
+	fmt.Fprint(stays, "attach proxy=1 zone=a weight=5 fresh=1\r\n")
+	stays.until("whole=1")
+	all := "attach proxy=2 zone=a weight=5 fresh=1\r\ndone proxy=2 mark=1 took_ms=5\r\nclient_stats proxy=2 class=read tries=1 failed=0 span_ms=1000\r\n"
+	joins := 1
+	for n := range len(all) + 1 {
+		c := x.dial()
+		fmt.Fprint(c, all[:n])
+		if n > strings.Index(all, "\n") {
+			c.until("whole=1") // it has joined
+			joins++
+		}
+		c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	x.eventually("only who stays is left", func() bool {
+		return len(x.m.sessions) == 2 && x.m.streams[2] == nil && x.m.figures.Joins == x.m.figures.Leaves+1
+	})
+	fmt.Fprint(stays, "hb\r\n")
+	stays.until("hb_ok")
+	x.now(func() {
+		if f := x.m.figures; f.Panics+f.Failures+f.Spoilt+f.Broken > 0 || f.Joins != joins {
+			t.Errorf("figures %+v", f)
+		}
+	})
+}
+
+// A proxy's new stream comes before the end of its old one, and an answer on it to a mark of the old one's: such an answer is
+// nobody's, and the whole table goes to the new stream only.
+func TestAnswerToTheFormerStreamsMark(t *testing.T) {
+	x := newScene(t, nil)
+	w := x.disco.accept()
+	w.asked()
+	w.answer(listed(41, true, 3, "127.0.0.1:1", 0))
+	old := x.dial()
+	fmt.Fprint(old, "attach proxy=2 zone=a weight=5 fresh=1\r\n")
+	push := old.until("ticket=")
+	mark := strings.Fields(push[strings.Index(push, "ticket=")+7:])[0]
+	fresh := x.dial()
+	fmt.Fprintf(fresh, "attach proxy=2 zone=a weight=5 fresh=0\r\ndone proxy=2 mark=%s took_ms=5\r\n", mark)
+	push = fresh.until("whole=1")
+	if !strings.Contains(push, "s-0:") || !strings.Contains(push, "level=") || !strings.Contains(push, "retry=") {
+		t.Errorf("the new stream is told %q", push)
+	}
+	if _, err := io.ReadAll(old); err == nil {
+		t.Error("the old stream is not reset")
+	}
+	x.eventually("the answer is seen", func() bool { return x.m.figures.Stale == 1 })
+	x.now(func() {
+		if s := x.m.streams[2]; s == nil || len(s.marks) == 0 || x.m.figures.Joins != 2 || x.m.figures.Leaves != 1 {
+			t.Errorf("the stream is %v, figures %+v", s, x.m.figures)
+		}
+	})
+}
