Platform: long poll, idle timeout and session takeover under their standard names

caller.waits, span and patience are longPoll, pollTimeout and answerTimeout; bury and silence are endIdle and idleTimeout; Superseded and Buried are TakenOver and IdledOut.

--- a/internal/platform/day_test.go
+++ b/internal/platform/day_test.go
@@ -636,7 +636,7 @@
 }
 
 // A proxy whose machine was cut off without a word, and which is elsewhere by now, is not taken to be joined for ever.
-func TestSilentStreamsAreBuried(t *testing.T) {
+func TestIdleStreamsEnd(t *testing.T) {
 	x := newTown(t, 4, 8, 8)
 	x.run(5)
 	x.w.Tell("crowd", "dumb 0")
@@ -645,8 +645,8 @@
 	x.run(20)
 	x.believed()
 	x.served()
-	if x.nodes[0].figures.Buried+x.nodes[1].figures.Buried != 1 {
-		t.Errorf("%d and %d streams were buried", x.nodes[0].figures.Buried, x.nodes[1].figures.Buried)
+	if x.nodes[0].figures.IdledOut+x.nodes[1].figures.IdledOut != 1 {
+		t.Errorf("%d and %d streams were ended as idle", x.nodes[0].figures.IdledOut, x.nodes[1].figures.IdledOut)
 	}
 }
 
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -12,19 +12,19 @@
 // begins with a call that does not wait, which shows at once that discovery answers, and what was missed; from then on
 // calls that wait follow each other, until one fails. When to try again is the module's to say.
 type caller struct {
-	m       *Machine
-	addr    string
-	conn    machine.Conn // 0: none
-	up      bool         // it stands
-	calling bool         // a call is under way, or about to be
-	asked   bool         // the call was written
-	waits   bool         // it is one that may wait
-	whole   bool         // it asks for the whole list
-	fetch   bool         // the module asked for the whole list meanwhile
-	kept    bool         // the connection has carried an answer already
-	wrote   machine.Seconds
-	due     machine.Seconds
-	answer  answer
+	m        *Machine
+	addr     string
+	conn     machine.Conn // 0: none
+	up       bool         // it stands
+	calling  bool         // a call is under way, or about to be
+	asked    bool         // the call was written
+	longPoll bool         // it may wait for a change
+	whole    bool         // it asks for the whole list
+	fetch    bool         // the module asked for the whole list meanwhile
+	kept     bool         // the connection has carried an answer already
+	wrote    machine.Seconds
+	due      machine.Seconds
+	answer   answer
 }
 
 // The platform's figures. A watch goes on if the next call comes within watchGap of the last answer. What discovery has to
@@ -44,12 +44,12 @@
 	return 10
 }
 
-// span is how long a waiting call waits: well inside the time after which we would count as told.
-func (d *caller) span() machine.Seconds { return min(d.within()/2, toldWithin) }
+// pollTimeout is how long a long poll waits: well inside the time after which we would count as told.
+func (d *caller) pollTimeout() machine.Seconds { return min(d.within()/2, toldWithin) }
 
-// patience is how long an answer may take beyond what the call waits. Asking again must still come before we count as told.
-func (d *caller) patience() machine.Seconds {
-	if d.waits {
+// answerTimeout is how long an answer may take beyond what the call waits. Asking again must still come before we count as told.
+func (d *caller) answerTimeout() machine.Seconds {
+	if d.longPoll {
 		return min(max(d.within()/5, toldAfter/2), 3*toldAfter/4)
 	}
 	return min(max(d.within()/5, toldAfter/2), toldAfter)
@@ -60,13 +60,13 @@
 		d.call(now, false, d.m.roll.partial(), out)
 		return
 	}
-	if d.waits { // it stands already
+	if d.longPoll { // it stands already
 		d.m.events = append(d.m.events, choice.Listed{Kind: choice.ListDelta, Version: d.m.roll.version})
 	}
 }
 
 func (d *caller) fetchAll(now machine.Seconds, out *machine.Out) {
-	if d.calling && !d.waits {
+	if d.calling && !d.longPoll {
 		d.fetch = true
 		return
 	}
@@ -74,9 +74,9 @@
 	d.call(now, false, true, out)
 }
 
-func (d *caller) call(now machine.Seconds, waits, whole bool, out *machine.Out) {
-	d.calling, d.asked, d.waits, d.whole = true, false, waits, whole
-	d.due = now + d.patience()
+func (d *caller) call(now machine.Seconds, longPoll, whole bool, out *machine.Out) {
+	d.calling, d.asked, d.longPoll, d.whole = true, false, longPoll, whole
+	d.due = now + d.answerTimeout()
 	d.answer.reset()
 	if d.conn == 0 {
 		d.conn, d.up, d.kept = d.m.dial(d.addr, out), false, false
@@ -90,11 +90,11 @@
 func (d *caller) ask(now machine.Seconds, out *machine.Out) {
 	d.asked, d.wrote = true, now
 	path := "/api/targets"
-	d.due = now + d.patience()
+	d.due = now + d.answerTimeout()
 	if !d.whole {
 		wait := 0.0
-		if d.waits {
-			wait = d.span()
+		if d.longPoll {
+			wait = d.pollTimeout()
 			d.due += wait
 		}
 		path = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, d.m.roll.version, int(wait*1000))
@@ -126,7 +126,7 @@
 		// Discovery ended an idle connection just as we wrote: it never saw the call, and says nothing by that. Asking may
 		// be repeated without harm, and at once the watch goes on. A call that had waited, or the end of a new connection, is a
 		// failure: who ends calls because too many come must not be asked at once.
-		d.call(now, d.waits, d.whole, out)
+		d.call(now, d.longPoll, d.whole, out)
 		return
 	}
 	if ended && len(d.answer.buf) == 0 {
@@ -159,7 +159,7 @@
 }
 
 func (d *caller) took(now machine.Seconds, l *list, out *machine.Out) {
-	first := !d.waits
+	first := !d.longPoll
 	listed, err := d.m.roll.news(now, l)
 	if err != nil {
 		d.failed(now, err.Error(), out)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -85,12 +85,12 @@
 
 // Figures are counts since the start.
 type Figures struct {
-	Joins, Leaves, Superseded        int
+	Joins, Leaves, TakenOver         int
 	Messages, Bytes                  int
 	Steps, Orders                    int
 	Refused, Evicted, Spoilt, Broken int
 	Stale                            int // answers to marks not in flight
-	Buried                           int // streams and collectors silent for too long
+	IdledOut                         int // streams and collectors silent for too long
 	Outdated                         int // results of probes whose server is another by now
 	Failures                         int // of the module
 	Panics                           int // at inputs
@@ -368,26 +368,26 @@
 			m.stopped = now // we were: what came meanwhile is yet to be read
 		}
 		m.looked = now
-		m.bury(now, out)
-		m.replace(now, out)
+		m.endIdle(now, out)
+		m.endReplaced(now, out)
 		m.tellHealth(out)
 	}
 	m.list.sweep(now, out)
 	m.probes.sweep(now, out)
 }
 
-// silence is how long a stream may owe answers and say nothing at all: three periods of its usage reports, and far
+// idleTimeout is how long a stream may owe answers and say nothing at all: three periods of its usage reports, and far
 // longer than any answer takes.
-func (m *Machine) silence() machine.Seconds {
+func (m *Machine) idleTimeout() machine.Seconds {
 	return max(3*m.boot.Module.Num("report_period", 1), 20*m.boot.Module.Num("push_time_worst", 0.3), 6)
 }
 
-// bury ends streams whose other end is gone without a word, as after a cut or the loss of a machine: their proxies are
+// endIdle ends streams whose other end is gone without a word, as after a cut or the loss of a machine: their proxies are
 // elsewhere, and would be dealt tables, and sent the same ones again and again, for as long as TCP keeps the connection.
-// Not when nobody is heard: then it is we who are cut off, or were stopped for a while. A proxy that is buried alive dials
+// Not when nobody is heard: then it is we who are cut off, or were stopped for a while. A proxy that lives all the same dials
 // again and gets a whole table.
-func (m *Machine) bury(now machine.Seconds, out *machine.Out) {
-	limit := m.silence()
+func (m *Machine) endIdle(now machine.Seconds, out *machine.Out) {
+	limit := m.idleTimeout()
 	if now > m.heard+limit/4 {
 		return
 	}
@@ -395,7 +395,7 @@
 		if s == nil || len(s.marks) == 0 || now < max(s.asked, s.heard, m.stopped)+limit {
 			continue
 		}
-		m.figures.Buried++
+		m.figures.IdledOut++
 		m.often(out, "buried", 2, "a stream was silent and owed answers, it counts as left", "proxy", int(s.proxy), "silent", now-s.heard)
 		delete(m.sessions, s.session.conn)
 		out.Kill(s.session.conn)
@@ -403,9 +403,9 @@
 	}
 }
 
-// replace ends collectors' connections that are silent while a later one of the same zone speaks: the collector was cut off
+// endReplaced ends collectors' connections that are silent while a later one of the same zone speaks: the collector was cut off
 // without a word and is back, and nothing else would ever give the old descriptor back.
-func (m *Machine) replace(now machine.Seconds, out *machine.Out) {
+func (m *Machine) endReplaced(now machine.Seconds, out *machine.Out) {
 	m.collectors = slices.DeleteFunc(m.collectors, func(s *session) bool { return m.sessions[s.conn] != s })
 	newest := map[string]*session{}
 	for _, s := range m.collectors {
@@ -415,10 +415,10 @@
 	}
 	for _, s := range m.collectors {
 		x := newest[s.zone]
-		if x == s || x.heard <= s.heard || now < max(s.heard, m.stopped)+m.silence() {
+		if x == s || x.heard <= s.heard || now < max(s.heard, m.stopped)+m.idleTimeout() {
 			continue
 		}
-		m.figures.Buried++
+		m.figures.IdledOut++
 		m.often(out, "replaced", 2, "a collector was silent while a later one of its zone spoke, its connection ends", "zone", s.zone, "silent", now-s.heard)
 		delete(m.sessions, s.conn)
 		out.Kill(s.conn)
@@ -605,7 +605,7 @@
 			return spoilt("joining", "proxy %d is joined by a later stream", x.Proxy)
 		}
 		// The older stream is a dead one whose end we have not seen; its late end must change nothing.
-		m.figures.Superseded++
+		m.figures.TakenOver++
 		delete(m.sessions, old.session.conn)
 		out.Kill(old.session.conn)
 		m.leave(old)
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -105,14 +105,14 @@
 	p.next(now, out)
 }
 
-// patience is how long a probe may take: one that waits for half of the shortest soft deadline says what no answer says.
-func (p *prober) patience() machine.Seconds { return p.m.soft / 2 }
+// timeout is how long a probe may take: one that waits for half of the shortest soft deadline says what no answer says.
+func (p *prober) timeout() machine.Seconds { return p.m.soft / 2 }
 
 func (p *prober) sweep(now machine.Seconds, out *machine.Out) {
-	for len(p.active) > 0 && now >= p.active[0].probe.began+p.patience() {
+	for len(p.active) > 0 && now >= p.active[0].probe.began+p.timeout() {
 		p.end(now, p.active[0], choice.Probed{}, false, out)
 	}
 	if len(p.active) > 0 {
-		out.At(p.active[0].probe.began + p.patience())
+		out.At(p.active[0].probe.began + p.timeout())
 	}
 }
