--- a/cmd/gingerfork/node_test.go
+++ b/cmd/gingerfork/node_test.go
@@ -166,10 +166,11 @@
 		"{}":                             "no address to listen on",
 		`{"listen":"127.0.0.1:1"}`:       "no address of discovery",
 		configuration("", "127.0.0.1:1"): "no address to listen on",
-		strings.Replace(configuration("127.0.0.1:1", "127.0.0.1:1"), `"seed":"8c`, `"seed":"zz`, 1):      "seed",
-		strings.Replace(configuration("127.0.0.1:1", "127.0.0.1:1"), `"sockets":256`, `"sockets":10`, 1): "limits",
-		strings.Replace(configuration("127.0.0.1:1", "127.0.0.1:1"), `"Profiles"`, `"Other"`, 1):         "methods",
-		configuration(taken.Addr().String(), "127.0.0.1:1"):                                              "address already in use",
+		strings.Replace(configuration("127.0.0.1:1", "127.0.0.1:1"), `"seed":"8c`, `"seed":"zz`, 1):                     "seed",
+		strings.Replace(configuration("127.0.0.1:1", "127.0.0.1:1"), `"sockets":256`, `"sockets":10`, 1):                "limits",
+		strings.Replace(configuration("127.0.0.1:1", "127.0.0.1:1"), `"Profiles"`, `"Other"`, 1):                        "methods",
+		strings.Replace(configuration("127.0.0.1:1", "127.0.0.1:1"), `"ProxyCount"`, `"PartitionsN":4,"ProxyCount"`, 1): "4 slices",
+		configuration(taken.Addr().String(), "127.0.0.1:1"):                                                             "address already in use",
 	} {
 		t.Setenv("NODE_CONFIG", filepath.Join(t.TempDir(), "none"))
 		if text != "" {
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -89,6 +89,10 @@
 	if n, _ := s.Values["proxies"].(float64); n < 1 || n > 1<<16 {
 		return nil, errors.New("the settings do not tell how many proxies there are")
 	}
+	if n, _ := s.Values["slices"].(float64); n > 0 {
+		// Their messages are on no page that we have, and a coordinator that leaves them out would keep no drain.
+		return nil, fmt.Errorf("the settings have %v slices: a node gives whole tables only", n)
+	}
 	return s, nil
 }
 
