Fan-out: a method without a table of ours goes by what the proxy brought, so it hears of withdrawals

Found by reading: parts() left out what a whole table says is withdrawn beside its own lines, Book.Close told the standing withdrawals only to proxies without any table, and withdraw only to those that hold a line or have none. Forced on sockets: it was told "assign classes=read whole=1 lines=s-2:1,s-1:1 ... back=s-2,s-1", and no out; now it is told out=s-0,s-3 with it. The module counts the line.

--- a/choice/state.go
+++ b/choice/state.go
@@ -339,12 +339,17 @@
 	return w
 }
 
+// lacks tells whether some methods have no table of ours yet, so that one that the proxy brought along is in force.
+func (p *proxy) lacks() bool {
+	return slices.ContainsFunc(p.sheets, func(s *sheet) bool { return len(s.told) == 0 })
+}
+
 // withdraw shuts a server out of all tables, or lets it in again, and counts the lines that this costs.
 func (c *Planner) withdraw(i int, on bool) {
 	c.shut[i] = on
 	c.out = append(c.out, Withdraw{c.id[i], on})
 	for _, p := range c.proxies {
-		if p.joined && (!p.bound || p.heaviest(i) > 0) {
+		if p.joined && (!p.bound || p.heaviest(i) > 0 || p.lacks()) {
 			p.due++
 			c.stir(p)
 		} else if p.waits {
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -80,6 +80,9 @@
 
 // Book is all tables of one instance of the module.
 type Book struct {
+	// Methods are the bits of all of them, for fronts where what a proxy brought along stays in force for a method that no table
+	// of ours is bound for; 0: nothing stays beside our first table.
+	Methods uint64
 	tables  map[choice.Table]*table
 	shut    map[choice.EP]bool
 	joined  []*Follower // by number, nil where none is joined
@@ -240,6 +243,18 @@
 	b.add(f, op, 1+len(op.Lines)+len(op.Levels))
 }
 
+// partial tells whether a proxy may still go by a table that it brought along.
+func (b *Book) partial(f *Follower) bool {
+	bound := uint64(0)
+	for _, x := range f.binds {
+		if x.methods == 0 {
+			return false
+		}
+		bound |= x.methods
+	}
+	return bound&b.Methods != b.Methods || len(f.binds) == 0
+}
+
 // whole is a table as it is at this moment.
 func (b *Book) whole(x bound) Op {
 	t := b.table(x.table)
@@ -259,6 +274,9 @@
 	return all
 }
 
+// Withdrawn is how many servers are.
+func (b *Book) Withdrawn() int { return len(b.shut) }
+
 // Tables is how many tables there are.
 func (b *Book) Tables() int { return len(b.tables) }
 
@@ -274,7 +292,7 @@
 	for f := range b.Joined() {
 		holds := slices.ContainsFunc(f.binds, func(x bound) bool { return b.tables[x.table].weight[o.EP] > 0 })
 		switch {
-		case o.On && (holds || len(f.binds) == 0):
+		case o.On && (holds || b.partial(f)):
 			f.shut[o.EP] = true
 			b.add(f, Op{Kind: Withdraw, EPs: []choice.EP{o.EP}}, 1)
 			turn.Proxies++
@@ -291,15 +309,15 @@
 
 // Close ends a step: it gives the step's messages, by when each proxy was first touched, and what was withdrawn or let in.
 //
-// Proxies that joined in this step, and for which the module has no table, are told what is withdrawn: as what they hold
-// of an earlier stream stays in force, they would go on sending there. A withdrawal is a standing order to all that are
+// Proxies that joined in this step, and for which the module has no table, or none for some methods, are told what is withdrawn:
+// as what they hold of an earlier stream stays in force, they would go on sending there. A withdrawal is a standing order to all that are
 // joined, whenever they joined; a table carries its own. Beside what the module withdrew, earlier says what else was
 // taken out of use before this instance began; it is asked only if anybody needs it.
 func (b *Book) Close(earlier func() []choice.EP) ([]*Message, []Turn) {
 	var all []choice.EP
 	gathered := false // once for all, and only if any has no table
 	for _, f := range b.fresh {
-		if b.joined[f.Proxy] != f || len(f.binds) > 0 {
+		if b.joined[f.Proxy] != f || !b.partial(f) {
 			continue
 		}
 		if !gathered {
--- a/internal/platform/orders.go
+++ b/internal/platform/orders.go
@@ -88,6 +88,9 @@
 			x := at(op)
 			x.whole, x.methods = true, op.Methods
 			x.lines, x.levels = slices.Clone(op.Lines), slices.Clone(op.Levels)
+			for _, ep := range op.EPs { // also what is not in this table: a method without one goes by what the proxy brought along
+				turn(ep, true)
+			}
 		case fanout.Level:
 			x := at(op)
 			for _, g := range op.Levels {
--- a/internal/platform/rare_test.go
+++ b/internal/platform/rare_test.go
@@ -586,3 +586,27 @@
 		}
 	})
 }
+
+// A proxy comes back with tables of another coordinator while a method that keeps to its zone has no server there. What it brought along
+// for that method stays in force, so it is told which servers are withdrawn, though the table that it gets for the others has none.
+func TestWithdrawnServersOfAMethodWithoutATable(t *testing.T) {
+	x := newScene(t, func(v map[string]any) { v["method.1.own_zone"] = true })
+	w := x.disco.accept()
+	w.asked()
+	host := func(name, zone, health string) string {
+		return fmt.Sprintf(`{"host":%q,"dial":"127.0.0.1:1","site":%q,"class":"m","block":1,"health":%q,"share":1,"born_ms":0}`, name, zone, health)
+	}
+	w.answer(`{"seq":41,"whole":true,"hosts":[` + host("s-0", "b", "active") + "," + host("s-1", "a", "active") + "," + host("s-2", "a", "active") + "," + host("s-3", "b", "active") + `]}`)
+	w.asked()
+	w.answer(`{"seq":42,"whole":false,"hosts":[` + host("s-0", "b", "leaving") + `]}`)
+	w.asked()
+	w.answer(`{"seq":43,"whole":false,"hosts":[` + host("s-3", "b", "left") + `]}`)
+	w.asked()
+	x.eventually("they are withdrawn", func() bool { return x.m.book.Withdrawn() == 2 })
+	c := x.dial()
+	fmt.Fprint(c, "attach proxy=2 zone=b weight=5 fresh=0\r\n")
+	got := c.until("ticket=")
+	if !strings.Contains(got, "classes=read whole=1") || !strings.Contains(got, "out=s-") || !strings.Contains(got, "s-0") || !strings.Contains(got, "s-3") {
+		t.Errorf("the proxy is told %q", got)
+	}
+}
