Test of the loop: which of two doors takes its connection first is nobody's promise

The test dials both doors and takes the connection opened last for the second one's. Each door has a goroutine that accepts, so under load the first may be taken later; then the test told the wrong one to close. Its connections have a deadline, so that the next such wait names itself.

--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -123,6 +123,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.SetDeadline(time.Now().Add(time.Minute)) // what never comes fails the test by its name, not the whole run by its time-out
 	t.Cleanup(func() { c.Close() })
 	return c
 }
@@ -131,14 +132,16 @@
 	dir := t.TempDir()
 	var records []trace.Record
 	l, e := start(t, Bootstrap{Listen: []string{"127.0.0.1:0", "127.0.0.1:0"}, Dir: dir, Trace: func(all []trace.Record) { records = append(records, all...) }})
-	a, b := dial(t, l.Addrs()[0]), dial(t, l.Addrs()[1])
-	for _, c := range []net.Conn{a, b} {
-		fmt.Fprint(c, "hello")
+	var both [2]net.Conn
+	for i := range both { // one after the other: each door has its own accepting, so that two at once may be taken in either order
+		both[i] = dial(t, l.Addrs()[i])
+		fmt.Fprint(both[i], "hello")
 		got := make([]byte, 5)
-		if _, err := io.ReadFull(c, got); err != nil || string(got) != "hello" {
+		if _, err := io.ReadFull(both[i], got); err != nil || string(got) != "hello" {
 			t.Fatal(string(got), err)
 		}
 	}
+	a, b := both[0], both[1]
 	if e.count(func(i machine.Input) bool { return i.Kind == machine.Opened && i.Door == 1 }) != 1 {
 		t.Fatal("no connection at the second door")
 	}
