Platform: whole numbers of lists and limits may be written with a point, a seed without quotes

encoding/json takes 256.0 for no integer: such a limit refused the start, such a block or version cost every list. Forced by the program's start on such files and by parseList; both fail without.

--- a/cmd/gingerfork/rare_test.go
+++ b/cmd/gingerfork/rare_test.go
@@ -179,6 +179,8 @@
 		"no limits":                        {change(`"limits":{"cores":1.0,"memory_mb":64,"sockets":256},`, ``), "a", "s-1:1"},
 		"limits with fractions":            {change(`"cores":1.0,"memory_mb":64,"sockets":256`, `"cores":0.15,"memory_mb":32.5,"sockets":256`), "a", "s-1:1"},
 		"no seed":                          {change(`"seed":"8c1f30d27a5be964",`, ``), "a", "s-1:1"},
+		"a seed without quotes":            {change(`"seed":"8c1f30d27a5be964"`, `"seed":8130`), "a", "s-1:1"},
+		"figures with a point":             {change(`"sockets":256`, `"sockets":256.0`, `"GroupSize":1`, `"GroupSize":1.0`), "a", "s-1:1"},
 		"a short seed":                     {change(`"seed":"8c1f30d27a5be964"`, `"seed":"0"`), "a", "s-1:1"},
 		"fields that nobody knows":         {change(`"seed":`, `"later":{"x":[1,{"y":null}]},"seed":`, `"GroupSize":1`, `"GroupSize":1,"More":[[],{}]`), "a", "s-1:1"},
 		"thousands of proxies":             {change(`"ProxyCount":4`, `"ProxyCount":9000`), "a", "s-1:1"},
--- a/internal/platform/day_test.go
+++ b/internal/platform/day_test.go
@@ -721,7 +721,7 @@
 		taken bool
 	}{{40, true, true}, {39, false, false}, {41, false, true}, {30, true, false}, {31, true, false}, {32, false, false}, {33, true, true}, {34, false, true}} {
 		hosts := []host{}
-		_, err := r.news(1, &list{Seq: &c.seq, Whole: c.whole, Hosts: &hosts})
+		_, err := r.news(1, &list{Seq: (*whole)(&c.seq), Whole: c.whole, Hosts: &hosts})
 		if (err == nil) != c.taken || r.partial() == c.taken {
 			t.Errorf("%d: %v, asks for all: %v", i, err, r.partial())
 		}
--- a/internal/platform/rare_test.go
+++ b/internal/platform/rare_test.go
@@ -610,3 +610,20 @@
 		t.Errorf("the proxy is told %q", got)
 	}
 }
+
+// Numbers of a list may be written with a point; what is no whole number is refused, and says so.
+func TestNumbersOfAList(t *testing.T) {
+	text := `{"seq":%s,"whole":true,"hosts":[{"host":"s-9","dial":"x:1","site":"","class":null,"block":%s,"health":"active","share":1,"born_ms":0}]}`
+	for _, c := range []struct {
+		seq, block string
+		good       bool
+	}{{"41", "3", true}, {"41.0", "3.0", true}, {"9007199254740993", "null", true}, {"4.1e1", "0", true}, {"41.5", "3", false}, {"41", `"3"`, false}, {"1e300", "3", false}} {
+		l, err := parseList(fmt.Appendf(nil, text, c.seq, c.block))
+		if (err == nil) != c.good {
+			t.Errorf("seq %s, block %s: %v", c.seq, c.block, err)
+		}
+		if c.seq == "9007199254740993" && (err != nil || *l.Seq != 9007199254740993) {
+			t.Errorf("a large version is read as %v", l)
+		}
+	}
+}
--- a/internal/platform/roll.go
+++ b/internal/platform/roll.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
+	"math"
 	"slices"
 	"strconv"
 
@@ -42,18 +43,39 @@
 	Dial   string
 	Site   string
 	Class  string
-	Block  int
+	Block  whole
 	Health string
 	Share  *float64
 	BornMs float64 `json:"born_ms"`
 }
 
 type list struct {
-	Seq   *int64
+	Seq   *whole
 	Whole bool
 	Hosts *[]host
 }
 
+// whole is a number without fractions, however it is written: to JSON 41 and 41.0 are one number, to encoding/json's integers
+// they are not, and one such in a list would cost the list.
+type whole int64
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (w *whole) UnmarshalJSON(b []byte) error {
+	if string(b) == "null" {
+		return nil
+	}
+	if n, err := strconv.ParseInt(string(b), 10, 64); err == nil {
+		*w = whole(n)
+		return nil
+	}
+	f, err := strconv.ParseFloat(string(b), 64)
+	if err != nil || f != math.Trunc(f) || math.Abs(f) > 1<<53 {
+		return fmt.Errorf("%.32s is not a whole number", b)
+	}
+	*w = whole(f)
+	return nil
+}
+
 func parseList(b []byte) (*list, error) {
 	l := &list{}
 	if err := json.Unmarshal(b, l); err != nil {
@@ -108,14 +130,15 @@
 
 // news takes over a list that discovery sent and gives what the module is to hear of it.
 func (r *roll) news(now machine.Seconds, l *list) (choice.Listed, error) {
-	if r.held && *l.Seq < r.version {
+	version := int64(*l.Seq)
+	if r.held && version < r.version {
 		// It comes from somewhere that is behind. The next call asks for all; if that stays so, discovery began anew.
 		if r.older++; !l.Whole || r.older < 3 {
-			return choice.Listed{}, fmt.Errorf("a list of version %d, but version %d is held", *l.Seq, r.version)
+			return choice.Listed{}, fmt.Errorf("a list of version %d, but version %d is held", version, r.version)
 		}
 	}
 	r.older = 0
-	out := choice.Listed{Kind: choice.ListDelta, Version: *l.Seq}
+	out := choice.Listed{Kind: choice.ListDelta, Version: version}
 	listed := map[choice.EP]bool{}
 	for _, h := range *l.Hosts {
 		ep := r.number(h.Host)
@@ -132,7 +155,7 @@
 			s.addr = h.Dial
 		}
 		s.gone = 0
-		s.entry = choice.Entry{EP: ep, Kind: h.Class, Zone: choice.Zone(h.Site), Weight: 1, Cell: h.Block, Start: h.BornMs / 1000}
+		s.entry = choice.Entry{EP: ep, Kind: h.Class, Zone: choice.Zone(h.Site), Weight: 1, Cell: int(h.Block), Start: h.BornMs / 1000}
 		if h.Share != nil {
 			s.entry.Weight = *h.Share
 		}
@@ -155,7 +178,7 @@
 			}
 		}
 	}
-	r.version, r.held = *l.Seq, true
+	r.version, r.held = version, true
 	return out, nil
 }
 
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 
 	"gingerfork/choice"
 	"gingerfork/internal/machine"
@@ -37,11 +38,12 @@
 // later: it alone can be replaced while we run. flatten is the simulator's, so that the module meets the same names.
 func ReadStart(file []byte, env Env, flatten func(map[string]any) map[string]any) (*Start, error) {
 	var doc struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery string
+		Seed                    json.RawMessage
+		Limits                  struct {
 			Cores   float64
 			Memory  float64 `json:"memory_mb"`
-			Sockets int
+			Sockets whole
 		}
 		Known    json.RawMessage
 		Settings map[string]any
@@ -56,7 +58,7 @@
 		return env(variable)
 	}
 	s := &Start{Name: either(doc.Name, envName), Listen: either(doc.Listen, envListen), Discovery: either(doc.Discovery, envDiscovery),
-		Cores: doc.Limits.Cores, Memory: int64(doc.Limits.Memory * (1 << 20)), Sockets: doc.Limits.Sockets, Known: doc.Known}
+		Cores: doc.Limits.Cores, Memory: int64(doc.Limits.Memory * (1 << 20)), Sockets: int(doc.Limits.Sockets), Known: doc.Known}
 	switch {
 	case s.Listen == "":
 		return nil, errors.New("no address to listen on: neither the configuration nor " + envListen + " has one")
@@ -70,8 +72,9 @@
 	if string(s.Known) == "null" {
 		s.Known = nil
 	}
-	if doc.Seed != "" {
-		seed, err := strconv.ParseUint(doc.Seed, 16, 64)
+	// Hex digits, as the page has it; a bare number's digits serve as well, since any will do that are new with each start.
+	if digits := strings.Trim(string(doc.Seed), `"`); digits != "" && digits != "null" {
+		seed, err := strconv.ParseUint(digits, 16, 64)
 		if err != nil {
 			return nil, fmt.Errorf("the seed is not a number in hex digits: %w", err)
 		}
