--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -496,6 +496,39 @@
 	}
 }
 
+// In a storm of joins at a full-sized planner most of the time is left for other things than deals, and yet whoever joins has a
+// table soon.
+func TestStormOfJoinsLeavesTime(t *testing.T) {
+	c := New(Bootstrap{Seed: 7, Now: 100, Values: values(map[string]any{"proxies": 2600.0, "channel_room": 1e7, "channel_pace": 1e7, "messages": 0.0})})
+	c.Step(100, []Event{full(200, 0)})
+	deals, last, now := 0, c.ring.sized, 100.0
+	waits := map[Proxy]Seconds{}
+	for p := Proxy(0); now < 102; {
+		now += 0.004
+		var all []Event
+		for k := 0; k < 6 && p < 2600; k++ {
+			all = append(all, Joined{Proxy: p, Zone: home(int(p)), Rate: 2})
+			waits[p] = now
+			p++
+		}
+		for _, o := range c.Step(now, all) {
+			b, ok := o.(BindTable)
+			if since, first := waits[b.Proxy]; ok && first {
+				if now-since > tick {
+					t.Fatalf("proxy %d waited %.2f s for its table", b.Proxy, now-since)
+				}
+				delete(waits, b.Proxy)
+			}
+		}
+		if c.ring.sized != last {
+			deals, last = deals+1, c.ring.sized
+		}
+	}
+	if deals > 150 || len(waits) > 0 {
+		t.Errorf("%d deals in 500 steps, %d proxies without a table", deals, len(waits))
+	}
+}
+
 // feed tells of a second in which the servers answer, but for those with a share of bad tries.
 func (w *world) feed(servers int, delay Seconds, bad map[EP]float64, quiet map[EP]bool) {
 	var all []Event
@@ -1043,6 +1076,7 @@
 		for p := range Proxy(c.proxies) {
 			w.step(0, Joined{Proxy: p, Zone: home(int(p)), Rate: 1})
 		}
+		w.step(0.1) // deals of the same moment are put off, and who joined last is yet to be dealt
 		g := w.c.gate
 		g.jammed, g.since, g.first, g.best, g.slow = true, w.now, w.now-100, 10, 0.5
 		w.now += 10
