--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,7 +16,6 @@
 
 const (
 	tick         = 0.25 // how often time-driven parts look again
-	dealRest     = 1e-7 // seconds between deals, for each proxy and server: many times what a deal takes
 	arcLeast     = 3    // servers in an arc
 	coverage     = 2    // arcs over each server
 	fairLeast    = 1.1  // of its part of the usage, what a server takes before arcs pass, if answers are slow
@@ -79,14 +78,10 @@
 	if c.boot.Num("slices", 0) == 0 {
 		c.pull()
 		c.readmit()
-		if r := c.ring; r.dirty && now < r.next {
-			c.out = append(c.out, Alarm{2, r.next})
-		} else if r.dirty {
-			if r.deal(); c.spareCold() {
-				r.deal()
+		if c.ring.dirty {
+			if c.ring.deal(); c.spareCold() {
+				c.ring.deal()
 			}
-			// In a storm of joins every step would bring a deal, and a planner that has no time left hears of nothing.
-			r.next = now + min(tick, dealRest*float64(r.joined*len(r.order)))
 		}
 		for _, p := range c.stirred {
 			p.stirred = false
--- a/choice/state.go
+++ b/choice/state.go
@@ -237,7 +237,6 @@
 	dirty  bool
 	frail  float64 // ease that the arcs now being dealt ask of a server
 	sized  Seconds
-	next   Seconds // no deal before this
 	joined int
 	lines  float64 // that the arcs are to have together
 	order  []int   // the open servers, in the order of the ring
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -55,8 +55,6 @@
 	Follower struct {
 		Proxy choice.Proxy
 		shut  map[choice.EP]bool // what it was told is withdrawn
-		since choice.Seconds     // when it joined
-		new   bool               // it has neither a table nor been told what is withdrawn
 		binds []bound
 		now   *Message
 	}
@@ -85,15 +83,12 @@
 	// Methods are the bits of all of them, for fronts where what a proxy brought along stays in force for a method that no table
 	// of ours is bound for; 0: nothing stays beside our first table.
 	Methods uint64
-	// Now is the time, and Wait how long a proxy that joined may be without a table of ours before it is told what is withdrawn.
-	// A table says it all in fewer lines, and in a storm of joins those lines are what the channel has none to spare of.
-	Now, Wait choice.Seconds
-	tables    map[choice.Table]*table
-	shut      map[choice.EP]bool
-	joined    []*Follower // by number, nil where none is joined
-	touched   []*Follower
-	fresh     []*Follower // joined since the last step
-	turns     []Turn
+	tables  map[choice.Table]*table
+	shut    map[choice.EP]bool
+	joined  []*Follower // by number, nil where none is joined
+	touched []*Follower
+	fresh   []*Follower // joined since the last step
+	turns   []Turn
 }
 
 // New makes an empty book.
@@ -106,7 +101,7 @@
 	for int(p) >= len(b.joined) {
 		b.joined = append(b.joined, nil)
 	}
-	f := &Follower{Proxy: p, shut: map[choice.EP]bool{}, since: b.Now, new: true}
+	f := &Follower{Proxy: p, shut: map[choice.EP]bool{}}
 	b.joined[p] = f
 	b.fresh = append(b.fresh, f)
 	return f
@@ -297,7 +292,7 @@
 	for f := range b.Joined() {
 		holds := slices.ContainsFunc(f.binds, func(x bound) bool { return b.tables[x.table].weight[o.EP] > 0 })
 		switch {
-		case o.On && (holds || b.partial(f) && !f.new):
+		case o.On && (holds || b.partial(f)):
 			f.shut[o.EP] = true
 			b.add(f, Op{Kind: Withdraw, EPs: []choice.EP{o.EP}}, 1)
 			turn.Proxies++
@@ -314,21 +309,14 @@
 
 // Close ends a step: it gives the step's messages, by when each proxy was first touched, and what was withdrawn or let in.
 //
-// Proxies that joined, and for which the module has no table in time, or none for some methods, are told what is withdrawn:
+// Proxies that joined in this step, and for which the module has no table, or none for some methods, are told what is withdrawn:
 // as what they hold of an earlier stream stays in force, they would go on sending there. A withdrawal is a standing order to all that are
 // joined, whenever they joined; a table carries its own. Beside what the module withdrew, earlier says what else was
 // taken out of use before this instance began; it is asked only if anybody needs it.
 func (b *Book) Close(earlier func() []choice.EP) ([]*Message, []Turn) {
 	var all []choice.EP
 	gathered := false // once for all, and only if any has no table
-	fresh := b.fresh
-	b.fresh = nil
-	for _, f := range fresh {
-		if b.joined[f.Proxy] == f && len(f.binds) == 0 && b.Now < f.since+b.Wait {
-			b.fresh = append(b.fresh, f)
-			continue
-		}
-		f.new = false
+	for _, f := range b.fresh {
 		if b.joined[f.Proxy] != f || !b.partial(f) {
 			continue
 		}
@@ -350,6 +338,7 @@
 			}
 		}
 	}
+	b.fresh = b.fresh[:0]
 	messages := make([]*Message, 0, len(b.touched))
 	for _, f := range b.touched {
 		messages = append(messages, f.now)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -153,7 +153,7 @@
 // instance begins with a fresh instance of the module: from the list as held, and the streams that stand.
 func (m *Machine) instance(b choice.Bootstrap) {
 	m.planner, m.book = choice.New(b), fanout.New()
-	m.book.Methods, m.book.Now, m.book.Wait = m.all(0), b.Now, b.Num("drain_grace", 1)/3
+	m.book.Methods = m.all(0)
 	m.events, m.alarm, m.stepped = nil, b.Now, b.Now-m.round
 	if m.roll.held {
 		m.events = append(m.events, m.roll.kept())
@@ -612,7 +612,6 @@
 		m.leave(old)
 	}
 	st := &stream{session: s, proxy: choice.Proxy(x.Proxy), zone: choice.Zone(x.Zone), rate: x.Rate, heard: now, told: map[choice.EP]bool{}, pristine: x.Fresh}
-	m.book.Now = now
 	st.follower = m.book.Join(st.proxy)
 	s.role, s.stream, s.reader.Most = proxyRole, st, lineMost
 	m.streams[x.Proxy] = st
@@ -647,7 +646,6 @@
 	events := m.events
 	m.events = nil
 	m.stepped = now
-	m.book.Now = now
 	m.figures.Steps++
 	orders, err := m.ask(now, events)
 	if err != nil {
