Log changes of tables that no proxy is subscribed to

The log could not tell whether the module never wanted the table, held it back for lack of room, or counted changes as sent that reached nobody.

Result: no decision changes; TestUndeliveredChangesAreCounted is new.

--- a/internal/fanout/commands.go
+++ b/internal/fanout/commands.go
@@ -39,6 +39,7 @@
 	} else {
 		delete(t.weights, command.Backend)
 	}
+	d.noteChange(command.Table, t)
 	entry := TableEntry{Backend: command.Backend, Weight: command.Weight, Excluded: d.excluded[command.Backend]}
 	for _, subscriber := range t.subscribers {
 		if entry.Excluded {
@@ -50,11 +51,19 @@
 	}
 }
 
+// noteChange records that a table changed if no proxy is subscribed to it.
+func (d *Distributor) noteChange(id choice.TableID, changed *table) {
+	if len(changed.subscribers) == 0 {
+		d.undelivered[id] = true
+	}
+}
+
 // clearTable empties a table, also at its subscribers, and deletes the table if it has no subscribers.
 func (d *Distributor) clearTable(command choice.ClearTable) {
 	t := d.getOrCreateTable(command.Table)
 	clear(t.weights)
 	t.admissions = nil
+	delete(d.undelivered, command.Table)
 	for _, subscriber := range t.subscribers {
 		d.enqueue(subscriber, subscriber.newOp(OpClear, command.Table), 1)
 	}
@@ -66,6 +75,7 @@
 // setAdmission sets the admission of some methods in a table and sends it to the table's subscribers.
 func (d *Distributor) setAdmission(command choice.SetAdmission) {
 	t := d.getOrCreateTable(command.Table)
+	d.noteChange(command.Table, t)
 	admission := Admission{Methods: command.Methods, Level: command.Level, Retry: command.Retry}
 	index := slices.IndexFunc(t.admissions, func(a Admission) bool { return a.Methods == admission.Methods })
 	if index >= 0 {
@@ -82,6 +92,7 @@
 
 // bind subscribes a proxy to a table and sends the complete table.
 func (d *Distributor) bind(command choice.BindTable) {
+	delete(d.undelivered, command.Table)
 	subscriber := d.subscriber(command.Proxy)
 	if subscriber == nil {
 		return // the proxy left after the events that led to this command
--- a/internal/fanout/distributor.go
+++ b/internal/fanout/distributor.go
@@ -96,11 +96,14 @@
 	dirty                []*Subscriber             // subscribers with a pending message, by the creation of that message
 	pendingNotifications []*Subscriber             // proxies of this step's NotifyExclusions commands
 	changes              []ExclusionChange         // exclusions and restorations of this step
+	undelivered          map[choice.TableID]bool   // tables that changed although no proxy is subscribed to them, see TakeUndelivered
 }
 
 // New returns a Distributor without tables or subscribers.
 func New() *Distributor {
-	return &Distributor{tables: map[choice.TableID]*table{}, excluded: map[choice.BackendID]bool{}}
+	return &Distributor{
+		tables: map[choice.TableID]*table{}, excluded: map[choice.BackendID]bool{}, undelivered: map[choice.TableID]bool{},
+	}
 }
 
 // Join adds a proxy. An earlier subscriber with the same number must have left.
@@ -170,6 +173,14 @@
 // TableCount returns the number of tables.
 func (d *Distributor) TableCount() int { return len(d.tables) }
 
+// TakeUndelivered returns the number of tables that commands changed since its last call without a subscriber or a later
+// binding, so that the changes reached no proxy. The module changes only tables that it binds in the same step or has bound.
+func (d *Distributor) TakeUndelivered() int {
+	count := len(d.undelivered)
+	clear(d.undelivered)
+	return count
+}
+
 // Flush ends a step. It returns the step's messages, in the order in which they were created, and the exclusion changes.
 //
 // A proxy that NotifyExclusions names and that has no bound table for some methods is sent all excluded backends, since it
--- a/internal/fanout/exclusions_test.go
+++ b/internal/fanout/exclusions_test.go
@@ -64,3 +64,31 @@
 		t.Errorf("the first table excludes %v, want only backend 7", got)
 	}
 }
+
+// A change of a table without a subscriber reaches no proxy and is counted, unless the table is bound or cleared afterwards.
+func TestUndeliveredChangesAreCounted(t *testing.T) {
+	distributor := New()
+	distributor.Join(1)
+	for _, step := range []struct {
+		name     string
+		commands []choice.Command
+		want     int
+	}{
+		{"a binding follows", []choice.Command{
+			choice.SetTableEntry{Table: 2, Backend: 7, Weight: 1}, choice.BindTable{Proxy: 1, Table: 2},
+		}, 0},
+		{"bound earlier", []choice.Command{choice.SetTableEntry{Table: 2, Backend: 8, Weight: 1}}, 0},
+		{"cleared", []choice.Command{choice.SetTableEntry{Table: 3, Backend: 8, Weight: 1}, choice.ClearTable{Table: 3}}, 0},
+		{"never bound", []choice.Command{
+			choice.SetTableEntry{Table: 3, Backend: 8, Weight: 1}, choice.SetAdmission{Table: 5, Methods: 1, Level: 1},
+		}, 2},
+		{"nothing changed since", nil, 0},
+	} {
+		for _, command := range step.commands {
+			distributor.Apply(command)
+		}
+		if got := distributor.TakeUndelivered(); got != step.want {
+			t.Errorf("%s: %d undelivered tables, want %d", step.name, got, step.want)
+		}
+	}
+}
--- a/internal/platform/decision.go
+++ b/internal/platform/decision.go
@@ -28,6 +28,9 @@
 			m.distributor.MarkDirty(subscriber)
 		}
 	}
+	if tables := m.distributor.TakeUndelivered(); tables > 0 {
+		m.logThrottled(out, problemUndelivered, levelError, "table changed that no proxy is subscribed to", "tables", tables)
+	}
 	messages, changes := m.distributor.Flush(nil)
 	for _, message := range messages {
 		m.push(now, message, nonce, out)
--- a/internal/platform/throttled_log.go
+++ b/internal/platform/throttled_log.go
@@ -23,6 +23,7 @@
 	problemProbeNotSent      problem = "probe not sent"
 	problemRejected          problem = "rejected"
 	problemReplacedCollector problem = "replaced collector"
+	problemUndelivered       problem = "undelivered change"
 	problemUnknownCommand    problem = "unknown command"
 )
 
