Send each table of a proxy whole once on a stream, not all tables at the first push

Cause: proxyActor.tableBound (choice/proxies.go, set in push.go) stood for both tables of a proxy. The zone-local table had no entry at the join and was not bound; its entries came later as changes of a table without a subscriber, and counted as sent.

Change: each table records whether it is bound on the present stream and is sent whole with its first entries. The model checks in every step that changes are delivered (checkDelivered), and its check for usable entries knows zone-local tables; sites without such methods are decided as before.

--- a/choice/exclusion.go
+++ b/choice/exclusion.go
@@ -53,7 +53,7 @@
 // no entry to send it. Otherwise a table from this coordinator makes the list unnecessary and takes fewer lines; sending many
 // such lists would overflow the channel.
 func (p *proxyActor) notifyExclusions() {
-	if p.exclusionsNotified || p.tableBound && !p.lacksTable() {
+	if p.exclusionsNotified || p.allTablesBound() {
 		return
 	}
 	planner, lines := p.planner, p.planner.excludedCount()
--- a/choice/fleet_model_rules_test.go
+++ b/choice/fleet_model_rules_test.go
@@ -1,5 +1,7 @@
 package choice
 
+import "slices"
+
 // This file has the rules that the model checks after each step.
 
 const (
@@ -17,10 +19,10 @@
 	for id, state := range m.listed {
 		m.checkBackend(id, state)
 	}
-	anyUsable := m.anyUsableBackend()
+	m.checkDelivered()
 	for proxy, joined := range m.joined {
 		if joined {
-			m.checkTablesNotEmpty(proxy, anyUsable)
+			m.checkTablesNotEmpty(proxy)
 			m.checkInformed(proxy)
 			m.checkMessageLimit(proxy)
 		}
@@ -57,26 +59,48 @@
 	delete(m.listed, id)
 }
 
-// anyUsableBackend reports whether any backend is open and not excluded.
-func (m *fleetModel) anyUsableBackend() bool {
-	for id := range m.open {
-		if !m.excluded[id] {
+// anyUsableFor reports whether any backend that a table of a proxy may have is open and not excluded.
+func (m *fleetModel) anyUsableFor(proxy ProxyID, table TableID) bool {
+	for id, endpoint := range m.open {
+		inReach := !zoneLocal(table) || endpoint.Zone == m.zone[proxy]
+		if inReach && !m.excluded[id] {
 			return true
 		}
 	}
 	return false
 }
 
-// checkTablesNotEmpty checks that each table of a proxy has a usable entry if any backend is usable.
-func (m *fleetModel) checkTablesNotEmpty(proxy ProxyID, anyUsable bool) {
+// checkTablesNotEmpty checks that each table of a proxy has a usable entry if a backend that it may have is usable.
+func (m *fleetModel) checkTablesNotEmpty(proxy ProxyID) {
 	m.t.Helper()
 	for _, table := range m.bound[proxy] {
-		if anyUsable && !m.usable(table) {
+		if !m.usable(table) && m.anyUsableFor(proxy, table) {
 			m.t.Fatalf("%.2f s: table %d of proxy %d has no usable entry although a backend is usable", m.now, table, proxy)
 		}
 	}
 }
 
+// checkDelivered checks that the changes of the last step reach the proxies: that each table that it changed is bound.
+func (m *fleetModel) checkDelivered() {
+	m.t.Helper()
+	for _, command := range m.commands {
+		switch command := command.(type) {
+		case SetTableEntry:
+			m.checkBound(command.Table)
+		case SetAdmission:
+			m.checkBound(command.Table)
+		}
+	}
+}
+
+// checkBound checks that a table is bound at its proxy.
+func (m *fleetModel) checkBound(table TableID) {
+	m.t.Helper()
+	if owner := tableOwner(table); !slices.Contains(m.bound[owner], table) {
+		m.t.Fatalf("%.2f s: the change of table %d reaches nobody, because the table is not bound at proxy %d", m.now, table, owner)
+	}
+}
+
 // checkInformed checks that a proxy learns of the present exclusions within half of the drain grace after its join.
 func (m *fleetModel) checkInformed(proxy ProxyID) {
 	m.t.Helper()
--- a/choice/fuzz_test.go
+++ b/choice/fuzz_test.go
@@ -9,11 +9,14 @@
 // FuzzRules feeds random events to a model, which checks the rules after each step. It also checks that the same events give
 // the same commands.
 func FuzzRules(f *testing.F) {
-	for seed := range int64(12) {
+	for seed := range int64(2 * seedsPerZoneSetting) {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, seed int64) {
-		overrides := map[string]any{"level_kind": []string{"share", "rate", "none"}[uint64(seed)%3]}
+		overrides := map[string]any{
+			"level_kind":        []string{"share", "rate", "none"}[uint64(seed)%3],
+			"method.1.own_zone": uint64(seed)/seedsPerZoneSetting%2 == 1,
+		}
 		first := playRandomEvents(newFleetModel(t, overrides), seed, 1500)
 		playRandomEvents(newFleetModel(t, overrides), seed+100, 100) // another instance in the same process must have no influence
 		second := playRandomEvents(newFleetModel(t, overrides), seed, 1500)
@@ -23,6 +26,9 @@
 	})
 }
 
+// seedsPerZoneSetting is the number of successive seeds of FuzzRules with, and without, a method that must stay in its zone.
+const seedsPerZoneSetting = 12
+
 // The ranges from which randomEvents draws.
 const (
 	randomProxies  = 6
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -99,6 +99,12 @@
 	return reports
 }
 
+// tableOwner returns the proxy that has a table.
+func tableOwner(table TableID) ProxyID { return ProxyID(table / 2) }
+
+// zoneLocal reports whether a table is for methods whose requests must stay in the proxy's zone.
+func zoneLocal(table TableID) bool { return table%2 == 1 }
+
 // countCommands returns the number of commands of one type.
 func countCommands[T Command](commands []Command) (count int) {
 	for _, command := range commands {
--- a/choice/proxies.go
+++ b/choice/proxies.go
@@ -21,6 +21,7 @@
 	id         TableID
 	methods    uint64        // bit set of methods
 	zoneLocal  bool          // the table is for methods whose requests must stay in the proxy's zone
+	bound      bool          // the table was sent whole on the proxy's present stream
 	desired    []tableEntry  // entries that the table should have
 	sent       []tableEntry  // entries that the table has once all pushes have arrived
 	sentLevels []float64     // admission levels last sent, by method; -1: none
@@ -36,7 +37,6 @@
 	joined             bool          // the proxy's stream is open
 	joinedAt           Seconds       // when its last stream was opened
 	leftAt             Seconds       // when it was first seen to have left; 0: it is joined
-	tableBound         bool          // it was sent a whole table on this stream
 	exclusionsNotified bool          // it was notified of all exclusions on this stream
 	arcStart           uint32        // hash at which its arcs start on the ring
 	hasStart           bool          // arcStart was chosen
@@ -105,7 +105,8 @@
 	case ProxyJoined:
 		p.join(msg)
 	case ProxyLeft:
-		p.joined, p.tableBound, p.pushInFlight = false, false, false
+		p.joined, p.pushInFlight = false, false
+		p.unbindTables()
 		p.planner.admission.lastDisconnectAt = p.planner.now
 		p.planner.send(p.planner.ring, membershipChanged{p})
 	case PushAcknowledged:
@@ -132,7 +133,8 @@
 // join begins a stream. A push on the last stream no longer counts, and no table of this coordinator is bound yet.
 func (p *proxyActor) join(msg ProxyJoined) {
 	planner := p.planner
-	p.joined, p.tableBound, p.pushInFlight, p.pendingLines, p.messagesSentAt = true, false, false, 0, nil
+	p.joined, p.pushInFlight, p.pendingLines, p.messagesSentAt = true, false, 0, nil
+	p.unbindTables()
 	p.exclusionsNotified, p.joinedAt = false, planner.now
 	if zone := planner.zoneOf(msg.Zone); p.zone != zone {
 		p.zone, p.assignmentRound = zone, 0
@@ -199,16 +201,28 @@
 // notified of all exclusions and may use a table of an earlier stream. A proxy that still waits for its first table, or for the
 // list of exclusions, learns of a new exclusion from these.
 func (p *proxyActor) mayUse(i int) bool {
-	if p.tableBound && p.maxSentWeight(i) > 0 {
+	if p.anyTableBound() && p.maxSentWeight(i) > 0 {
 		return true
 	}
-	return p.exclusionsNotified && (!p.tableBound || p.lacksTable())
+	return p.exclusionsNotified && !p.allTablesBound()
 }
 
-// lacksTable reports whether some methods have no table from this coordinator yet, so that a table of an earlier stream may be
-// in use for them.
-func (p *proxyActor) lacksTable() bool {
-	return slices.ContainsFunc(p.tables, func(table *proxyTable) bool { return len(table.sent) == 0 })
+// anyTableBound reports whether the proxy was sent a whole table on its present stream.
+func (p *proxyActor) anyTableBound() bool {
+	return slices.ContainsFunc(p.tables, func(table *proxyTable) bool { return table.bound })
+}
+
+// allTablesBound reports whether the proxy was sent all of its tables on its present stream. Until then, a table of an earlier
+// stream may be in use for some methods.
+func (p *proxyActor) allTablesBound() bool {
+	return !slices.ContainsFunc(p.tables, func(table *proxyTable) bool { return !table.bound })
+}
+
+// unbindTables records that no table was sent on the proxy's present stream, or that it has none.
+func (p *proxyActor) unbindTables() {
+	for _, table := range p.tables {
+		table.bound = false
+	}
 }
 
 // maxPushLines returns an upper bound on the lines of a push of the proxy's tables.
--- a/choice/push.go
+++ b/choice/push.go
@@ -23,40 +23,56 @@
 	messageLossTimeout   = 10.0 // seconds after which an unacknowledged message is assumed lost with its stream
 )
 
-// push sends the changes of a proxy's tables once its last push is acknowledged and the channel has room. Urgent changes do not
-// wait for this, but need messages left within urgentPushShare of the limit. If the acknowledgement is overdue, the whole table
-// is sent again.
+// push sends the changes of a proxy's tables once its last push is acknowledged and the channel has room. A first table does not
+// wait for the acknowledgement. Urgent changes wait for neither, but need messages left within urgentPushShare of the limit. If
+// the acknowledgement is overdue, the whole tables are sent again.
 func (p *proxyActor) push() {
 	planner := p.planner
 	overdue := p.pushInFlight && planner.now > p.leavesChannelAt+ackTimeoutFactor*planner.channel.meanAckTime
 	urgent := slices.ContainsFunc(p.tables, p.urgent) && planner.channel.withinMessageLimit(p, urgentPushShare)
-	p.pushWaiting = overdue || !p.tableBound || slices.ContainsFunc(p.tables, p.tableOutdated)
-	blocked := p.pushInFlight && !overdue || !planner.channel.hasRoom(p)
+	firstTable := slices.ContainsFunc(p.tables, p.awaitsFirstTable)
+	p.pushWaiting = overdue || !p.anyTableBound() || slices.ContainsFunc(p.tables, p.tableOutdated)
+	blocked := p.pushInFlight && !overdue && !firstTable || !planner.channel.hasRoom(p, firstTable)
 	if !p.pushWaiting || !urgent && blocked {
 		return
 	}
-	whole := !p.tableBound || overdue
 	for _, table := range p.tables {
-		if p.sendDelta(table); whole && len(table.sent) > 0 {
-			p.tableBound = true
-			planner.commands = append(planner.commands, BindTable{p.id, table.id, table.methods})
-			p.pendingLines += 1 + len(table.sent) + len(table.sentLevels)
+		p.sendDelta(table)
+		if overdue || !table.bound {
+			p.bindTable(table)
 		}
 	}
-	p.awaitsAck = p.tableBound && p.pendingLines > 0 && (!p.pushInFlight || overdue)
+	p.awaitsAck = p.anyTableBound() && p.pendingLines > 0 && (!p.pushInFlight || overdue)
 }
 
+// bindTable sends a table whole, unless it has no entries. Each table is bound on its own: one that has no entries when the
+// proxy joins, because the proxy's zone has no backend, is bound when it gets its first ones.
+func (p *proxyActor) bindTable(table *proxyTable) {
+	if len(table.sent) == 0 {
+		return
+	}
+	table.bound = true
+	p.planner.commands = append(p.planner.commands, BindTable{p.id, table.id, table.methods})
+	p.pendingLines += 1 + len(table.sent) + len(table.sentLevels)
+}
+
+// awaitsFirstTable reports whether there are usable entries to send for a table that was not sent on this stream yet.
+func (p *proxyActor) awaitsFirstTable(table *proxyTable) bool {
+	return !table.bound && slices.ContainsFunc(table.desired, p.usable)
+}
+
+// usable reports whether the backend of an entry is not excluded.
+func (p *proxyActor) usable(entry tableEntry) bool { return !p.planner.excluded[entry.backend] }
+
 // urgent reports whether all entries of a table are excluded while there are usable ones to send, or whether an entry has a
 // larger warm-up factor than its backend may have now. It doesn't compare weights, because some endpoint lists also lower the
 // weights of backends under load that are not in slow start.
 func (p *proxyActor) urgent(table *proxyTable) bool {
-	planner := p.planner
-	usable := func(entry tableEntry) bool { return !planner.excluded[entry.backend] }
 	tooWarm := func(entry tableEntry) bool {
-		return entry.warmupFactor > coldTolerance*planner.warmupFactor[entry.backend]
+		return entry.warmupFactor > coldTolerance*p.planner.warmupFactor[entry.backend]
 	}
-	lostAll := !slices.ContainsFunc(table.sent, usable) && slices.ContainsFunc(table.desired, usable)
-	return p.tableBound && (lostAll || slices.ContainsFunc(table.sent, tooWarm))
+	lostAll := !slices.ContainsFunc(table.sent, p.usable) && slices.ContainsFunc(table.desired, p.usable)
+	return table.bound && (lostAll || slices.ContainsFunc(table.sent, tooWarm))
 }
 
 // admissionLevel returns the admission level of a method, as a share or as requests a second. A rate has a margin above the
@@ -83,13 +99,18 @@
 	return limit == 0 || float64(len(proxy.messagesSentAt)+1) <= share*limit
 }
 
-// hasRoom reports whether the limits allow an ordinary push to a proxy. The message limit is not checked if the proxy gets an
-// exclusion in this step, because the push then shares that message. It is not checked for a first table either.
-func (h *channel) hasRoom(proxy *proxyActor) bool {
-	share, firstTableDue := ordinaryPushShare, proxy.joinedAt+firstTableDelayShare*h.planner.settings.DrainGrace
-	if !proxy.tableBound && h.planner.now < firstTableDue {
-		share = firstTableShare
+// hasRoom reports whether the limits allow an ordinary push to a proxy, or one with a first table. The message limit is not
+// checked if the proxy gets an exclusion in this step, because the push then shares that message. It is not checked for the
+// first push on a stream either.
+func (h *channel) hasRoom(proxy *proxyActor, firstTable bool) bool {
+	lineShare, messageShare := ordinaryPushShare, ordinaryPushShare
+	if firstTable {
+		messageShare = urgentPushShare
+	}
+	firstPush := !proxy.anyTableBound()
+	if firstPush && h.planner.now < proxy.joinedAt+firstTableDelayShare*h.planner.settings.DrainGrace {
+		lineShare = firstTableShare
 	}
-	fits := float64(h.waitingLines()+proxy.maxPushLines()) < share*h.planner.settings.MaxChannelLines
-	return fits && (!proxy.tableBound || proxy.pendingLines > 0 || h.withinMessageLimit(proxy, ordinaryPushShare))
+	fits := float64(h.waitingLines()+proxy.maxPushLines()) < lineShare*h.planner.settings.MaxChannelLines
+	return fits && (firstPush || proxy.pendingLines > 0 || h.withinMessageLimit(proxy, messageShare))
 }
--- a/choice/push_test.go
+++ b/choice/push_test.go
@@ -144,3 +144,52 @@
 		t.Fatalf("admission levels with low usage %v, with high usage %v, without a limit %v", lowUsage, highUsage, unlimited)
 	}
 }
+
+// A table that had no entry when the proxy joined is sent whole with its first entries, also if the proxy's other table was sent
+// before. Guards against the failure of review case 1: the entries were counted as sent but reached nobody, and the proxy
+// refused all requests of the methods that must stay in its zone.
+func TestLateFirstTableIsBound(t *testing.T) {
+	fleet := newFleetModel(t, map[string]any{"method.1.own_zone": true})
+	for number := range 8 {
+		if homeZone(number) == "a" {
+			fleet.step(0, stateUpdate(number, BackendGone))
+		} else {
+			fleet.step(0, stateUpdate(number, BackendOpen))
+		}
+	}
+	fleet.step(0.1, ProxyJoined{0, "a", 10, true})
+	fleet.acknowledgeAll()
+	if bound := fleet.bound[0]; len(bound) != 1 || zoneLocal(bound[0]) {
+		t.Fatalf("the tables %v are bound while the proxy's zone has no backend, only the one for all zones wanted", bound)
+	}
+	fleet.step(0.1, fullUpdate(8, 0))
+	local := slices.IndexFunc(fleet.bound[0], zoneLocal)
+	if local < 0 || !fleet.usable(fleet.bound[0][local]) {
+		t.Fatalf("the tables %v are bound once the zone has backends, a usable zone-local one among them wanted", fleet.bound[0])
+	}
+	fleet.acknowledgeAll()
+	if commands := fleet.step(0.1, stateUpdate(0, BackendDraining)); countCommands[BindTable](commands) != 0 {
+		t.Errorf("a later change sends a whole table again: %v", commands)
+	}
+}
+
+// If the zone of hundreds of proxies gets its first backends, the first tables for the methods that must stay in it are spread
+// over some time, so that the channel stays within its limit, which the model checks after each step.
+func TestLateFirstTablesKeepTheLineLimit(t *testing.T) {
+	const proxies = 400
+	fleet := newFleetModel(t, map[string]any{
+		"method.1.own_zone": true, "proxies": float64(proxies), "channel_room": 4000.0, "channel_pace": 4000.0, "messages": 0.0,
+	})
+	outage := fullUpdate(16, 0)
+	outage.Endpoints = slices.DeleteFunc(outage.Endpoints, func(endpoint Endpoint) bool { return endpoint.Zone == "a" })
+	fleet.step(0, outage)
+	fleet.joinTogether(0.01, 0, proxies)
+	fleet.acknowledgeAll()
+	fleet.step(0.1, fullUpdate(16, 0))
+	fleet.acknowledgeAll()
+	for proxy := range ProxyID(proxies) {
+		if !slices.ContainsFunc(fleet.bound[proxy], zoneLocal) {
+			t.Fatalf("proxy %d has no table for the methods that must stay in its zone", proxy)
+		}
+	}
+}
--- a/internal/platform/harness_loop_test.go
+++ b/internal/platform/harness_loop_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// readPush reads a push with all its parts, and returns them.
+func (c *rawConn) readPush() (push string) {
+	c.t.Helper()
+	for {
+		part := c.readUntil("assign ")
+		push += part
+		if !strings.Contains(part, " more=1") {
+			return push
+		}
+	}
+}
+
+// acknowledge acknowledges a push as the given proxy.
+func (c *rawConn) acknowledge(proxy int, push string) {
+	c.t.Helper()
+	_, nonce, found := strings.Cut(push, " ticket=")
+	if !found {
+		c.t.Fatalf("the push %q has no nonce", push)
+	}
+	fmt.Fprintf(c, "done proxy=%d mark=%s took_ms=1\r\n", proxy, strings.Fields(nonce)[0])
+}
+
 // reset closes the connection with a TCP reset.
 func (c *rawConn) reset() {
 	c.SetLinger(0)
--- a/internal/platform/streams_test.go
+++ b/internal/platform/streams_test.go
@@ -119,3 +119,28 @@
 		t.Errorf("the proxy received %q", got)
 	}
 }
+
+// While a proxy's zone has no backend, the proxy has no table for a method that may use only backends of its zone. Once the zone
+// has backends again, the proxy is sent that table whole, in the push that also changes its other table. Guards against the
+// failure of review case 1: the proxy never got that table and refused all requests of the method.
+func TestLateTableForMethodOfOwnZone(t *testing.T) {
+	test := newLoopTest(t, func(values map[string]any) { values["method.1.own_zone"] = true })
+	discovery := test.discovery.accept()
+	host := func(name, zone string) string {
+		return fmt.Sprintf(`{"host":%q,"dial":"127.0.0.1:1","site":%q,"class":"m","block":1,"health":"active","share":1,"born_ms":0}`, name, zone)
+	}
+	discovery.readRequest()
+	discovery.respond(`{"seq":41,"whole":true,"hosts":[` + host("s-0", "a") + "," + host("s-1", "a") + `]}`)
+	discovery.readRequest()
+	proxy := test.dial()
+	fmt.Fprint(proxy, "attach proxy=2 zone=b weight=5 fresh=1\r\n")
+	first := proxy.readPush()
+	if !strings.Contains(first, "classes=read whole=1") || strings.Contains(first, "submit") {
+		t.Fatalf("the first push is %q, want a table for the method read only", first)
+	}
+	proxy.acknowledge(2, first)
+	discovery.respond(`{"seq":42,"whole":false,"hosts":[` + host("s-2", "b") + "," + host("s-3", "b") + `]}`)
+	if second := proxy.readPush(); !strings.Contains(second, "classes=submit whole=1 lines=s-") {
+		t.Errorf("the push after the zone's return is %q, want a whole table for the method submit", second)
+	}
+}
