Log the expected load and the warm-up factor when a backend is excluded or restored

The log said only that the backend was restored for 4 proxies; whether the module thought the load small, the capacity large, or the guard for cold backends not applicable could not be told from it.

No decision changes.

--- a/choice/estimates.go
+++ b/choice/estimates.go
@@ -10,6 +10,7 @@
 	FailureShare float64 // share of the attempts that failed
 	MeanLatency  Seconds // mean latency of the successful attempts
 	ExpectedRate float64 // requests a second that the tables are expected to bring it
+	WarmupFactor float64 // share of its weight that tables may give it
 	Ejected      bool    // it is ejected from the arcs of one zone's proxies or more
 	Unreachable  bool    // its last two probes failed, see Planner.unreachable
 }
@@ -24,8 +25,20 @@
 	return estimates
 }
 
+// Estimate returns the estimate for one backend, or false if the instance doesn't know the backend.
+func (planner *Planner) Estimate(backend BackendID) (BackendEstimate, bool) {
+	i, known := planner.indexOf[backend]
+	if !known {
+		return BackendEstimate{}, false
+	}
+	return planner.estimate(i), true
+}
+
 func (planner *Planner) estimate(i int) BackendEstimate {
-	estimate := BackendEstimate{Backend: planner.id[i], ExpectedRate: planner.expectedLoad[i], Unreachable: planner.unreachable(i)}
+	estimate := BackendEstimate{
+		Backend: planner.id[i], ExpectedRate: planner.expectedLoad[i], WarmupFactor: planner.warmupFactor[i],
+		Unreachable: planner.unreachable(i),
+	}
 	failureRate, latencySum := 0.0, 0.0
 	for zone, attempts := range planner.attempts[i] {
 		decay := math.Exp(-(planner.now - planner.lastReportAt[i][zone]) / healthWindow)
--- a/internal/platform/decision.go
+++ b/internal/platform/decision.go
@@ -90,11 +90,16 @@
 	out.Write(receiver.session.conn, data)
 }
 
-// logExclusionChange logs that a backend was excluded or restored, and at how many proxies.
+// logExclusionChange logs that a backend was excluded or restored, at how many proxies, and the module's estimates of its
+// load and of how far it has warmed up, on which the decision depends for a cold backend.
 func (m *Machine) logExclusionChange(change fanout.ExclusionChange, out *statemachine.Effects) {
 	text := "backend restored"
 	if change.Excluded {
 		text = "backend excluded"
 	}
-	out.Log(levelInfo, text, "backend", m.endpoints.name(change.Backend), "proxies", change.Proxies)
+	attributes := []any{"backend", m.endpoints.name(change.Backend), "proxies", change.Proxies}
+	if estimate, known := m.planner.Estimate(change.Backend); known {
+		attributes = append(attributes, "expected_per_s", rounded(estimate.ExpectedRate), "warmup_factor", rounded(estimate.WarmupFactor))
+	}
+	out.Log(levelInfo, text, attributes...)
 }
