Exclude an overloaded cold backend if its own zone has no warm one, restore zones together

Cause: overloadsColdBackend (choice/slowstart.go) excluded a cold backend only if no warm one was listed in the whole fleet. For methods that must stay in the zone, the twelve warm ones of other zones take nothing.

TestFirstColdBackendOfAZoneIsNotOverloaded (virtual time) failed before with 7.9, 15.0 and 22.1 requests a second for one to three local methods, where the backend collapses above 6.1; it fails again with the old condition.

Change: the guard compares the load that no warm backend can take: all if the fleet has no warm one, that of zone-local tables if the zone has none. addExpectedLoad counts a table's methods, no longer the whole proxy for each table. An excluded zone returns in one step once it can share its load (restoreColdZones); else each backend would have to carry it alone. TestColdZoneIsRestoredTogether fails without.

--- a/choice/backends.go
+++ b/choice/backends.go
@@ -23,6 +23,9 @@
 	effectiveWeight        []float64   // weight × warmupFactor × latencyFactor, see computeEffectiveWeights
 	assignedLoad           []float64   // load from the arcs assigned so far, in requests a second
 	expectedLoad           []float64   // load from the tables, or that after its exclusion is withdrawn, in requests a second
+	expectedZoneLoad       []float64   // part of expectedLoad that must stay in the backend's zone
+	restoredZoneLoad       []float64   // expectedZoneLoad after the exclusions of all backends of the zone are withdrawn together
+	overloadExcludedAt     []Seconds   // when the backend was last excluded because its load would make it collapse
 	arcCount               []int       // number of arcs that include the backend
 	excluded               []bool      // the backend's exclusion was sent and not withdrawn
 	exclusionDueSince      []Seconds   // since when the backend's exclusion has to be sent; 0: it doesn't
@@ -115,6 +118,9 @@
 	planner.effectiveWeight = append(planner.effectiveWeight, 0)
 	planner.assignedLoad = append(planner.assignedLoad, 0)
 	planner.expectedLoad = append(planner.expectedLoad, 0)
+	planner.expectedZoneLoad = append(planner.expectedZoneLoad, 0)
+	planner.restoredZoneLoad = append(planner.restoredZoneLoad, 0)
+	planner.overloadExcludedAt = append(planner.overloadExcludedAt, 0)
 	planner.arcCount = append(planner.arcCount, 0)
 	planner.excluded = append(planner.excluded, false)
 	planner.exclusionDueSince = append(planner.exclusionDueSince, 0)
@@ -140,6 +146,7 @@
 	planner.ringHash[i] = crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, uint32(id)))
 	planner.warmupFactor[i], planner.latencyFactor[i], planner.latencyFactorUpdatedAt[i] = 1, 1, 0
 	planner.assignedLoad[i], planner.expectedLoad[i], planner.arcCount[i] = 0, 0, 0
+	planner.expectedZoneLoad[i], planner.restoredZoneLoad[i], planner.overloadExcludedAt[i] = 0, 0, 0
 	planner.excluded[i], planner.exclusionDueSince[i] = false, 0
 	planner.lastSuccessAt[i], planner.failedProbes[i], planner.nextProbeAt[i], planner.returnedAt[i] = 0, 0, 0, 0
 	planner.goneSince[i] = 0
--- a/choice/exclusion.go
+++ b/choice/exclusion.go
@@ -40,13 +40,34 @@
 		if !planner.excluded[i] || planner.state[i] != BackendOpen {
 			continue
 		}
-		maxWeight := restoreTolerance * planner.weight[i] * planner.warmupFactor[i]
-		tooHeavy := func(proxy *proxyActor) bool { return proxy.joined && proxy.maxSentWeight(i) > maxWeight }
-		if !planner.overloadsColdBackend(i) && !slices.ContainsFunc(planner.proxies, tooHeavy) {
-			planner.setExcluded(i, false)
-			planner.ring.dirty = true
+		if !planner.overloadsColdBackend(i) && !planner.sentTooHeavy(i) {
+			planner.restore(i)
 		}
 	}
+	planner.restoreColdZones()
+}
+
+// restore withdraws a backend's exclusion and has the arcs reassigned.
+func (planner *Planner) restore(i int) {
+	planner.setExcluded(i, false)
+	planner.ring.dirty = true
+}
+
+// sentTooHeavy reports whether a sent table gives a backend more weight than slow start allows it now.
+func (planner *Planner) sentTooHeavy(i int) bool {
+	maxWeight := restoreTolerance * planner.weight[i] * planner.warmupFactor[i]
+	return slices.ContainsFunc(planner.proxies, func(proxy *proxyActor) bool {
+		return proxy.joined && proxy.maxSentWeight(i) > maxWeight
+	})
+}
+
+// lacksLocalEntry reports whether the zone-local table of a joined proxy, as sent, lacks an entry that it should have.
+func (p *proxyActor) lacksLocalEntry() bool {
+	return p.joined && slices.ContainsFunc(p.tables, func(table *proxyTable) bool {
+		return table.zoneLocal && table.bound && slices.ContainsFunc(table.desired, func(entry tableEntry) bool {
+			return !slices.ContainsFunc(table.sent, func(sent tableEntry) bool { return sent.backend == entry.backend })
+		})
+	})
 }
 
 // notifyExclusions sends a proxy the list of all exclusions if it may still use a table of an earlier stream because there is
--- a/choice/proxies.go
+++ b/choice/proxies.go
@@ -177,6 +177,20 @@
 // usageRate returns the proxy's usage of all methods in requests a second, as of their last reports.
 func (p *proxyActor) usageRate() float64 { return sum(p.usage) }
 
+// tableRate returns the part of assignedRate for which a table is used.
+func (p *proxyActor) tableRate(table *proxyTable) float64 {
+	if len(p.tables) == 1 {
+		return p.assignedRate
+	}
+	usage := 0.0
+	for method, rate := range p.usage {
+		if table.covers(method) {
+			usage += rate
+		}
+	}
+	return p.assignedRate * usage / max(p.usageRate(), 1e-9) // 1e-9 prevents a division by 0
+}
+
 // references reports whether a table of the proxy has, or should have, an entry for a backend.
 func (p *proxyActor) references(i int) bool {
 	isBackend := func(entry tableEntry) bool { return entry.backend == i }
--- a/choice/ring.go
+++ b/choice/ring.go
@@ -125,6 +125,7 @@
 func (r *ring) resetLoad() {
 	slots := len(r.planner.id)
 	r.planner.assignedLoad, r.planner.expectedLoad = make([]float64, slots), make([]float64, slots)
+	r.planner.expectedZoneLoad, r.planner.restoredZoneLoad = make([]float64, slots), make([]float64, slots)
 	r.planner.arcCount, r.lastWalk = make([]int, slots), make([]*arcWalk, slots)
 }
 
@@ -179,9 +180,11 @@
 // addExpectedLoad adds the load that an arc brings each of its backends. For an excluded backend this is the load after its
 // exclusion is withdrawn.
 func (r *ring) addExpectedLoad(walk *arcWalk) {
-	planner, usableWeight := r.planner, 0.0
+	planner, rate := r.planner, walk.proxy.tableRate(walk.table)
+	usableWeight, arcWeight := 0.0, 0.0
 	weight := func(i int) float64 { return planner.warmupFactor[i] * planner.weight[i] }
 	for _, i := range walk.arc {
+		arcWeight += weight(i)
 		if !planner.excluded[i] {
 			usableWeight += weight(i)
 		}
@@ -191,7 +194,12 @@
 		if planner.excluded[i] {
 			totalWeight += weight(i)
 		}
-		planner.expectedLoad[i] += walk.proxy.assignedRate * weight(i) / totalWeight
+		load := rate * weight(i) / totalWeight
+		planner.expectedLoad[i] += load
+		if walk.table.zoneLocal {
+			planner.expectedZoneLoad[i] += load
+			planner.restoredZoneLoad[i] += rate * weight(i) / arcWeight
+		}
 	}
 }
 
--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -1,14 +1,18 @@
 package choice
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // A backend in slow start ("cold") has reduced capacity since its process started or became reachable again, and collapses
 // under a load that it could serve later. Its warm-up factor is the share of its full weight that tables may give it; the
 // factor is 1 after slow start ("warm").
 const (
-	slowStartSteps  = 4   // steps of the warm-up factor, each of which costs a push to each proxy
-	coldLoadShare   = 0.6 // share of the load at which a cold backend collapses that may reach it in an overload
-	maxAvoidedShare = 0.1 // share of attempts at backends that proxies avoid, above which their requests move to cold backends
+	slowStartSteps       = 4   // steps of the warm-up factor, each of which costs a push to each proxy
+	coldLoadShare        = 0.6 // share of the load at which a cold backend collapses that may reach it in an overload
+	minOverloadExclusion = 2.0 // seconds from a backend's exclusion for overload until it may be restored together with others
+	maxAvoidedShare      = 0.1 // share of attempts at backends that proxies avoid, above which their requests move to cold backends
 )
 
 // currentWarmupFactor returns a backend's present warm-up factor. It assumes the slowest warm-up that the settings allow and
@@ -56,42 +60,104 @@
 	return arrivalRate * movedShare / (coldLoadShare * collapseMultiple * max(admission.peakSuccessRatePerWeight, 1e-9))
 }
 
-// overloadsColdBackend reports whether the arcs bring a cold backend more load than it can take while no warm one is listed.
-// The capacity is estimated from the peak success rate, which is less than what a backend can do; the bound is therefore
-// divided by coldLoadShare, so that a fleet that is entirely cold and has its usual load stays within it. The estimate is too
-// low, and excludes backends without need, if the peak rate was measured at very little traffic.
-func (planner *Planner) overloadsColdBackend(i int) bool {
+// recentlyStarted reports whether a backend is cold by the start time in the endpoint list. One that was merely unreachable for a
+// while is not: it has to stay in the tables.
+func (planner *Planner) recentlyStarted(i int) bool {
+	return planner.startedAt[i] > 0 && planner.now < planner.startedAt[i]+planner.settings.WarmupDuration
+}
+
+// anyWarm reports whether an open backend for which the condition holds has not started recently.
+func (planner *Planner) anyWarm(condition func(i int) bool) bool {
+	for i, state := range planner.state {
+		if state == BackendOpen && !planner.recentlyStarted(i) && condition(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// coldLoadBound returns the load, in requests a second, above which a cold backend is excluded. The capacity is estimated from
+// the peak success rate, which is less than what a backend can do; the bound is therefore divided by coldLoadShare, so that a
+// fleet that is entirely cold and has its usual load stays within it. The estimate is too low, and excludes backends without
+// need, if the peak rate was measured at very little traffic.
+func (planner *Planner) coldLoadBound(i int) float64 {
 	collapseRate := planner.settings.CollapseLoadMultiple * planner.warmupFactor[i] * planner.weight[i] *
 		planner.admission.peakSuccessRatePerWeight
 	bound := collapseRate / coldLoadShare * planner.ownShare()
 	if planner.excluded[i] {
 		bound /= 2 // hysteresis: an excluded backend is restored only at half the load that excludes it
 	}
-	// Only the listed start time counts here: a backend that was merely unreachable for a while has to stay in the tables.
-	recentlyStarted := func(k int) bool {
-		return planner.startedAt[k] > 0 && planner.now < planner.startedAt[k]+planner.settings.WarmupDuration
+	return bound
+}
+
+// loadWithoutWarmBackends returns the part of a backend's expected load that no warm backend can take: all if the fleet has none,
+// and that of the tables that are limited to the backend's zone if the zone has none.
+func (planner *Planner) loadWithoutWarmBackends(i int) float64 {
+	inZone := func(k int) bool { return planner.zone[k] == planner.zone[i] }
+	inFleet := func(int) bool { return true }
+	switch {
+	case !planner.anyWarm(inFleet):
+		return planner.expectedLoad[i]
+	case !planner.anyWarm(inZone):
+		return planner.expectedZoneLoad[i]
 	}
-	if !recentlyStarted(i) || planner.admission.peakSuccessRatePerWeight <= 0 || !(planner.expectedLoad[i] > bound) {
+	return 0
+}
+
+// overloadsColdBackend reports whether the arcs bring a cold backend more load than it can take while no warm one is listed that
+// could take it instead.
+func (planner *Planner) overloadsColdBackend(i int) bool {
+	if !planner.recentlyStarted(i) || planner.admission.peakSuccessRatePerWeight <= 0 {
 		return false
 	}
-	warmBackends := planner.sumOpen(func(k int) float64 {
-		if recentlyStarted(k) {
-			return 0
-		}
-		return 1
-	})
-	return warmBackends == 0
+	bound := planner.coldLoadBound(i)
+	return planner.expectedLoad[i] > bound && planner.loadWithoutWarmBackends(i) > bound
 }
 
 // excludeOverloadedCold excludes the open backends for which overloadsColdBackend holds and reports whether it excluded any. It
 // is better that proxies reject requests than that a backend collapses and doesn't recover. Rule 1 of package
-// invariant, that a proxy must have a usable table entry, allows this because it applies only while a warm backend is listed.
+// invariant, that a proxy must have a usable table entry, allows this because it applies only while a warm backend is listed
+// that the table may have.
 func (planner *Planner) excludeOverloadedCold() (changed bool) {
 	for i := range planner.id {
 		if planner.state[i] == BackendOpen && !planner.excluded[i] && planner.overloadsColdBackend(i) {
+			planner.overloadExcludedAt[i] = planner.now
 			planner.setExcluded(i, true)
 			changed = true
 		}
 	}
 	return changed
 }
+
+// restoreColdZones withdraws the exclusions of all cold backends of a zone in one step, once they can take the load of the
+// zone-local tables together. One by one, each would have to be able to take all of it.
+func (planner *Planner) restoreColdZones() {
+	groups := make([][]int, len(planner.zoneIndex))
+	for i, zone := range planner.zone {
+		if planner.excluded[i] && planner.state[i] == BackendOpen && planner.restoredZoneLoad[i] > 0 {
+			groups[zone] = append(groups[zone], i)
+		}
+	}
+	for _, group := range groups {
+		if len(group) > 0 && planner.mayRestoreTogether(group) {
+			for _, i := range group {
+				planner.restore(i)
+			}
+		}
+	}
+}
+
+// mayRestoreTogether reports whether the exclusions of a zone's backends may be withdrawn in one step: each proxy's table has
+// all of them at weights that they may have, and none would get more load than it can take.
+func (planner *Planner) mayRestoreTogether(group []int) bool {
+	if !planner.anyWarm(func(int) bool { return true }) {
+		return false // the load of the other tables counts as well, see loadWithoutWarmBackends
+	}
+	for _, i := range group {
+		rested := planner.now >= planner.overloadExcludedAt[i]+minOverloadExclusion
+		if !rested || planner.sentTooHeavy(i) || planner.restoredZoneLoad[i] > planner.coldLoadBound(i) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(planner.proxies, (*proxyActor).lacksLocalEntry)
+}
