Guard cold zones before the first report too, by the usual requests of the proxies

Cause: overloadsColdBackend returned false until a peak success rate was measured, so for one to two seconds after a start.

Change: until a rate is measured, provenRatePerWeight takes the usual requests that the proxies state at their joins, over the weight of the open backends, which scales with the load. Only zone-local tables beside a warm backend of another zone are judged by it: a fleet that starts as a whole is not shut (TestNewFleetIsNotExcluded).

--- a/choice/cold_zone_test.go
+++ b/choice/cold_zone_test.go
@@ -25,9 +25,10 @@
 	fleet      *fleetModel
 	startedAt  Seconds // when the backends of zone a started again
 	localShare float64 // share of each proxy's requests that must stay in its zone
+	replaced   bool    // the backends of zone a return under new ids
 }
 
-// newColdZoneTest returns a fleet under its usual load. The first localMethods of three equally used methods must stay in the
+// newColdZoneTest returns a fleet that has not started. The first localMethods of three equally used methods must stay in the
 // proxy's zone.
 func newColdZoneTest(t *testing.T, localMethods int) *coldZoneTest {
 	t.Helper()
@@ -38,22 +39,44 @@
 	for method := range localMethods {
 		overrides[fmt.Sprintf("method.%d.own_zone", method)] = true
 	}
-	test := &coldZoneTest{t: t, fleet: newFleetModel(t, overrides), localShare: float64(localMethods) / 3}
+	return &coldZoneTest{t: t, fleet: newFleetModel(t, overrides), localShare: float64(localMethods) / 3}
+}
+
+// startWarm starts the fleet with all backends warm, and plays 15 seconds of its usual load.
+func (c *coldZoneTest) startWarm() {
+	c.t.Helper()
+	c.start(BackendOpen)
+	c.run(15)
+}
+
+// start lists all backends, those of zone a in the given state, and has the proxies join.
+func (c *coldZoneTest) start(zoneState BackendState) {
+	c.t.Helper()
 	update := EndpointUpdate{Kind: UpdateFull}
 	for number := range coldZoneBackends {
-		update.Endpoints = append(update.Endpoints, test.endpoint(number, BackendOpen))
+		state := BackendOpen
+		if number < lostBackends {
+			state = zoneState
+		}
+		update.Endpoints = append(update.Endpoints, c.endpoint(number, state))
 	}
-	test.fleet.step(0, update)
+	c.fleet.step(0, update)
 	for proxy := range ProxyID(coldZoneProxies) {
-		test.fleet.step(0.02, ProxyJoined{Proxy: proxy, Zone: homeZone(int(proxy)), Rate: test.proxyRate(proxy)})
+		c.fleet.step(0.02, ProxyJoined{Proxy: proxy, Zone: homeZone(int(proxy)), Rate: c.proxyRate(proxy)})
+	}
+}
+
+// id returns the id of a backend by its number.
+func (c *coldZoneTest) id(number int) BackendID {
+	if c.replaced && number < lostBackends && c.startedAt > 0 {
+		return backendID(coldZoneBackends + number)
 	}
-	test.run(15)
-	return test
+	return backendID(number)
 }
 
 // endpoint returns the entry of a backend. The first ones are in zone a.
 func (c *coldZoneTest) endpoint(number int, state BackendState) Endpoint {
-	endpoint := Endpoint{Backend: backendID(number), State: state, Zone: "b", Weight: 1}
+	endpoint := Endpoint{Backend: c.id(number), State: state, Zone: "b", Weight: 1}
 	if number < lostBackends {
 		endpoint.Zone, endpoint.StartedAt = "a", c.startedAt
 	}
@@ -95,7 +118,7 @@
 		}
 	}
 	for number := range coldZoneBackends {
-		id := backendID(number)
+		id := c.id(number)
 		if attempts := c.countInSecond(c.load(id)); attempts > 0 {
 			reports = append(reports, AttemptReport{
 				Backend: id, Zone: c.endpoint(number, BackendOpen).Zone, Attempts: attempts, MeanLatency: 0.1, Span: 1,
@@ -146,7 +169,7 @@
 func (c *coldZoneTest) checkColdLoad() {
 	c.t.Helper()
 	for number := range lostBackends {
-		id := backendID(number)
+		id := c.id(number)
 		if _, open := c.fleet.open[id]; !open || c.startedAt == 0 {
 			continue
 		}
@@ -178,7 +201,7 @@
 // excludedCount returns the number of backends of zone a that are excluded.
 func (c *coldZoneTest) excludedCount() (count int) {
 	for number := range lostBackends {
-		if c.fleet.excluded[backendID(number)] {
+		if c.fleet.excluded[c.id(number)] {
 			count++
 		}
 	}
@@ -190,20 +213,25 @@
 // which it collapses.
 func TestFirstColdBackendOfAZoneIsNotOverloaded(t *testing.T) {
 	for localMethods := range 4 {
-		t.Run(fmt.Sprint(localMethods, " local methods"), func(t *testing.T) {
-			test := newColdZoneTest(t, localMethods)
-			test.loseZone()
-			test.startedAt = test.fleet.now
-			test.run(1)
-			for number := range lostBackends {
-				test.fleet.step(0.01, deltaUpdate(test.endpoint(number, BackendOpen)))
+		for _, replaced := range []bool{false, true} {
+			t.Run(fmt.Sprint(localMethods, " local methods, replaced ", replaced), func(t *testing.T) {
+				test := newColdZoneTest(t, localMethods)
+				test.replaced = replaced
+				test.startWarm()
+				test.loseZone()
+				test.startedAt = test.fleet.now
 				test.run(1)
-			}
-			test.run(warmAfter + 1)
-			if excluded := test.excludedCount(); excluded > 0 {
-				t.Errorf("%d backends are warm but still excluded", excluded)
-			}
-		})
+				for number := range lostBackends {
+					test.fleet.step(0.01, deltaUpdate(test.endpoint(number, BackendOpen)))
+					test.checkColdLoad()
+					test.run(1)
+				}
+				test.run(warmAfter + 1)
+				if excluded := test.excludedCount(); excluded > 0 {
+					t.Errorf("%d backends are warm but still excluded", excluded)
+				}
+			})
+		}
 	}
 }
 
@@ -211,6 +239,7 @@
 // one, each would have to take the whole load alone.
 func TestColdZoneIsRestoredTogether(t *testing.T) {
 	test := newColdZoneTest(t, 3)
+	test.startWarm()
 	test.loseZone()
 	test.startedAt = test.fleet.now
 	test.run(1)
@@ -231,3 +260,38 @@
 	}
 	test.run(warmAfter)
 }
+
+// The same holds for a coordinator that was lost with the zone and starts again: it has no report yet that shows what backends can
+// serve. Guards against a failure found beside review case 2, by a copy of it that kills the coordinator as well.
+func TestRestartedPlannerKeepsColdZoneFromOverload(t *testing.T) {
+	for localMethods := range 4 {
+		t.Run(fmt.Sprint(localMethods, " local methods"), func(t *testing.T) {
+			test := newColdZoneTest(t, localMethods)
+			test.startedAt = test.fleet.now - 0.5
+			test.start(BackendGone)
+			for number := range lostBackends {
+				for range 2 {
+					test.fleet.step(returnStep, deltaUpdate(test.endpoint(number, BackendOpen)))
+					test.checkColdLoad()
+				}
+			}
+			test.run(warmAfter + 1)
+			if excluded := test.excludedCount(); excluded > 0 {
+				t.Errorf("%d backends are warm but still excluded", excluded)
+			}
+		})
+	}
+}
+
+// A fleet that starts as a whole is entirely cold and has no report yet. None of its backends is excluded.
+func TestNewFleetIsNotExcluded(t *testing.T) {
+	fleet := newFleetModel(t, map[string]any{"method.0.own_zone": true})
+	fleet.step(0, fullUpdate(8, startTime))
+	fleet.join(6)
+	fleet.step(0.5)
+	for number := range 8 {
+		if fleet.excluded[backendID(number)] {
+			t.Errorf("backend %d of a new fleet is excluded", number)
+		}
+	}
+}
--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -77,12 +77,11 @@
 }
 
 // coldLoadBound returns the load, in requests a second, above which a cold backend is excluded. The capacity is estimated from
-// the peak success rate, which is less than what a backend can do; the bound is therefore divided by coldLoadShare, so that a
-// fleet that is entirely cold and has its usual load stays within it. The estimate is too low, and excludes backends without
-// need, if the peak rate was measured at very little traffic.
+// provenRatePerWeight, which is less than what a backend can do; the bound is therefore divided by coldLoadShare, so that a fleet
+// that is entirely cold and has its usual load stays within it. The estimate is too low, and excludes backends without need, if
+// the rate was measured at very little traffic.
 func (planner *Planner) coldLoadBound(i int) float64 {
-	collapseRate := planner.settings.CollapseLoadMultiple * planner.warmupFactor[i] * planner.weight[i] *
-		planner.admission.peakSuccessRatePerWeight
+	collapseRate := planner.settings.CollapseLoadMultiple * planner.warmupFactor[i] * planner.weight[i] * planner.provenRatePerWeight()
 	bound := collapseRate / coldLoadShare * planner.ownShare()
 	if planner.excluded[i] {
 		bound /= 2 // hysteresis: an excluded backend is restored only at half the load that excludes it
@@ -90,12 +89,31 @@
 	return bound
 }
 
+// provenRatePerWeight returns the requests a second that warm backends can surely serve per unit of weight: the peak success rate.
+// Until this instance has measured one, it assumes that the backends listed as open can serve the usual requests of all proxies,
+// of which those that are joined are taken for a fair sample.
+func (planner *Planner) provenRatePerWeight() float64 {
+	if peak := planner.admission.peakSuccessRatePerWeight; peak > 0 {
+		return peak
+	}
+	usage := 0.0
+	for _, proxy := range planner.proxies {
+		if proxy.joined {
+			usage += proxy.usageRate()
+		}
+	}
+	return usage / max(planner.ownShare()*planner.sumOpen(planner.fullWeight), 1e-9) // 1e-9 prevents a division by 0
+}
+
 // loadWithoutWarmBackends returns the part of a backend's expected load that no warm backend can take: all if the fleet has none,
-// and that of the tables that are limited to the backend's zone if the zone has none.
+// and that of the tables that are limited to the backend's zone if the zone has none. It is 0 for a fleet without warm backends
+// before any success was reported, because a fleet that starts as a whole must not be shut.
 func (planner *Planner) loadWithoutWarmBackends(i int) float64 {
 	inZone := func(k int) bool { return planner.zone[k] == planner.zone[i] }
 	inFleet := func(int) bool { return true }
 	switch {
+	case !planner.anyWarm(inFleet) && planner.admission.peakSuccessRatePerWeight <= 0:
+		return 0
 	case !planner.anyWarm(inFleet):
 		return planner.expectedLoad[i]
 	case !planner.anyWarm(inZone):
@@ -107,8 +125,9 @@
 // overloadsColdBackend reports whether the arcs bring a cold backend more load than it can take while no warm one is listed that
 // could take it instead.
 func (planner *Planner) overloadsColdBackend(i int) bool {
-	if !planner.recentlyStarted(i) || planner.admission.peakSuccessRatePerWeight <= 0 {
-		return false
+	unmeasured := planner.admission.peakSuccessRatePerWeight <= 0
+	if !planner.recentlyStarted(i) || unmeasured && planner.expectedZoneLoad[i] == 0 {
+		return false // before the first report only zone-local tables count, see loadWithoutWarmBackends
 	}
 	bound := planner.coldLoadBound(i)
 	return planner.expectedLoad[i] > bound && planner.loadWithoutWarmBackends(i) > bound
