Keep cold zones within the collapse load, with a pause, cascade and better first estimate

Change: usualRatePerWeight takes zones with warm backends; overloadsColdBackend has a limit each for fleet and zone and counts all load; a backend excluded for overload stays out 2 s; exclusions are repeated in a step until none is overloaded.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,8 +44,10 @@
 func (planner *Planner) reconcile() {
 	planner.sendExclusions()
 	planner.restoreExcluded()
-	if planner.ring.refreshArcs() && planner.excludeOverloadedCold() {
-		planner.ring.assignAllArcs()
+	if planner.ring.refreshArcs() {
+		for planner.excludeOverloadedCold() { // the load of excluded backends moves to others, which may then be overloaded
+			planner.ring.assignAllArcs()
+		}
 	}
 	for _, proxy := range planner.dirtyProxies {
 		proxy.dirty = false
--- a/choice/exclusion.go
+++ b/choice/exclusion.go
@@ -40,7 +40,7 @@
 		if !planner.excluded[i] || planner.state[i] != BackendOpen {
 			continue
 		}
-		if !planner.overloadsColdBackend(i) && !planner.sentTooHeavy(i) {
+		if planner.pausedAfterOverload(i) && !planner.overloadsColdBackend(i) && !planner.sentTooHeavy(i) {
 			planner.restore(i)
 		}
 	}
--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -11,7 +11,9 @@
 const (
 	slowStartSteps       = 4   // steps of the warm-up factor, each of which costs a push to each proxy
 	coldLoadShare        = 0.6 // share of the load at which a cold backend collapses that may reach it in an overload
-	minOverloadExclusion = 2.0 // seconds from a backend's exclusion for overload until it may be restored together with others
+	coldFleetHysteresis  = 0.5 // a backend of a cold fleet is restored at this share of the load that excludes it
+	coldZoneHysteresis   = 0.8 // the same for a cold zone of a fleet with warm backends
+	minOverloadExclusion = 2.0 // seconds from a backend's exclusion for overload until it may be restored
 	maxAvoidedShare      = 0.1 // share of attempts at backends that proxies avoid, above which their requests move to cold backends
 )
 
@@ -76,63 +78,75 @@
 	return false
 }
 
-// coldLoadBound returns the load, in requests a second, above which a cold backend is excluded. The capacity is estimated from
-// provenRatePerWeight, which is less than what a backend can do; the bound is therefore divided by coldLoadShare, so that a fleet
-// that is entirely cold and has its usual load stays within it. The estimate is too low, and excludes backends without need, if
-// the rate was measured at very little traffic.
-func (planner *Planner) coldLoadBound(i int) float64 {
-	collapseRate := planner.settings.CollapseLoadMultiple * planner.warmupFactor[i] * planner.weight[i] * planner.provenRatePerWeight()
-	bound := collapseRate / coldLoadShare * planner.ownShare()
-	if planner.excluded[i] {
-		bound /= 2 // hysteresis: an excluded backend is restored only at half the load that excludes it
-	}
-	return bound
+// collapseLoad returns the load of this instance's proxies, in requests a second, at which a cold backend may collapse. It is
+// estimated from provenRatePerWeight, which is less than what a backend can do, and much less if it was measured at very little
+// traffic.
+func (planner *Planner) collapseLoad(i int) float64 {
+	return planner.settings.CollapseLoadMultiple * planner.warmupFactor[i] * planner.weight[i] * planner.provenRatePerWeight() *
+		planner.ownShare()
 }
 
 // provenRatePerWeight returns the requests a second that warm backends can surely serve per unit of weight: the peak success rate.
-// Until this instance has measured one, it assumes that the backends listed as open can serve the usual requests of all proxies,
-// of which those that are joined are taken for a fair sample.
+// Until this instance has measured one, it assumes that the backends of the zones that have warm ones can serve the usual requests
+// of their zones' proxies, or all backends those of all proxies if no proxy of such a zone is joined. The joined proxies are taken
+// for a fair sample.
 func (planner *Planner) provenRatePerWeight() float64 {
 	if peak := planner.admission.peakSuccessRatePerWeight; peak > 0 {
 		return peak
 	}
+	hasWarm := make([]bool, len(planner.zoneIndex))
+	for i, zone := range planner.zone {
+		hasWarm[zone] = hasWarm[zone] || planner.state[i] == BackendOpen && !planner.recentlyStarted(i)
+	}
+	rate := planner.usualRatePerWeight(func(zone int) bool { return hasWarm[zone] })
+	if rate == 0 {
+		rate = planner.usualRatePerWeight(func(int) bool { return true })
+	}
+	return rate
+}
+
+// usualRatePerWeight returns the usual requests a second of the proxies in some zones, per unit of weight of the open backends
+// there. It multiplies those of the joined proxies by the number of all proxies for each joined one.
+func (planner *Planner) usualRatePerWeight(includes func(zone int) bool) float64 {
 	usage := 0.0
 	for _, proxy := range planner.proxies {
-		if proxy.joined {
+		if proxy.joined && includes(proxy.zone) {
 			usage += proxy.usageRate()
 		}
 	}
-	return usage / max(planner.ownShare()*planner.sumOpen(planner.fullWeight), 1e-9) // 1e-9 prevents a division by 0
-}
-
-// loadWithoutWarmBackends returns the part of a backend's expected load that no warm backend can take: all if the fleet has none,
-// and that of the tables that are limited to the backend's zone if the zone has none. It is 0 for a fleet without warm backends
-// before any success was reported, because a fleet that starts as a whole must not be shut.
-func (planner *Planner) loadWithoutWarmBackends(i int) float64 {
-	inZone := func(k int) bool { return planner.zone[k] == planner.zone[i] }
-	inFleet := func(int) bool { return true }
-	switch {
-	case !planner.anyWarm(inFleet) && planner.admission.peakSuccessRatePerWeight <= 0:
+	weight := planner.sumOpen(func(i int) float64 {
+		if includes(planner.zone[i]) {
+			return planner.weight[i]
+		}
 		return 0
-	case !planner.anyWarm(inFleet):
-		return planner.expectedLoad[i]
-	case !planner.anyWarm(inZone):
-		return planner.expectedZoneLoad[i]
-	}
-	return 0
+	})
+	return usage / max(planner.ownShare()*weight, 1e-9) // 1e-9 prevents a division by 0
 }
 
-// overloadsColdBackend reports whether the arcs bring a cold backend more load than it can take while no warm one is listed that
-// could take it instead.
+// overloadsColdBackend reports whether the arcs bring a cold backend more load than it can take, while no warm one is listed that
+// could take it instead: none in the fleet or, if a table that is limited to the backend's zone has the backend, none in the zone.
+// All load counts, that of the other tables too.
 func (planner *Planner) overloadsColdBackend(i int) bool {
-	unmeasured := planner.admission.peakSuccessRatePerWeight <= 0
-	if !planner.recentlyStarted(i) || unmeasured && planner.expectedZoneLoad[i] == 0 {
-		return false // before the first report only zone-local tables count, see loadWithoutWarmBackends
+	measured := planner.admission.peakSuccessRatePerWeight > 0
+	if !planner.recentlyStarted(i) || !measured && planner.expectedZoneLoad[i] == 0 {
+		return false
 	}
-	bound := planner.coldLoadBound(i)
-	return planner.expectedLoad[i] > bound && planner.loadWithoutWarmBackends(i) > bound
+	// The fleet's limit is divided by coldLoadShare, so that a fleet that is entirely cold and has its usual load stays within it.
+	fleetLimit, zoneLimit := planner.collapseLoad(i)/coldLoadShare, planner.collapseLoad(i)
+	if planner.excluded[i] {
+		fleetLimit, zoneLimit = fleetLimit*coldFleetHysteresis, zoneLimit*coldZoneHysteresis
+	}
+	inZone := func(k int) bool { return planner.zone[k] == planner.zone[i] }
+	if planner.anyWarm(inFleet) {
+		return planner.expectedZoneLoad[i] > 0 && planner.expectedLoad[i] > zoneLimit && !planner.anyWarm(inZone)
+	}
+	// Before any success was reported, a fleet that starts as a whole must not be shut.
+	return measured && planner.expectedLoad[i] > fleetLimit
 }
 
+// inFleet is a condition for anyWarm that holds for all backends.
+func inFleet(int) bool { return true }
+
 // excludeOverloadedCold excludes the open backends for which overloadsColdBackend holds and reports whether it excluded any. It
 // is better that proxies reject requests than that a backend collapses and doesn't recover. Rule 1 of package
 // invariant, that a proxy must have a usable table entry, allows this because it applies only while a warm backend is listed
@@ -148,6 +162,13 @@
 	return changed
 }
 
+// pausedAfterOverload reports whether a backend is warm or was not excluded for overload within minOverloadExclusion. Arcs get smaller
+// when a backend is restored, and may then bring it more load than was expected; without a pause it would be excluded and restored
+// in each step.
+func (planner *Planner) pausedAfterOverload(i int) bool {
+	return !planner.recentlyStarted(i) || planner.now >= planner.overloadExcludedAt[i]+minOverloadExclusion
+}
+
 // restoreColdZones withdraws the exclusions of all cold backends of a zone in one step, once they can take the load of the
 // zone-local tables together. One by one, each would have to be able to take all of it.
 func (planner *Planner) restoreColdZones() {
@@ -169,12 +190,13 @@
 // mayRestoreTogether reports whether the exclusions of a zone's backends may be withdrawn in one step: each proxy's table has
 // all of them at weights that they may have, and none would get more load than it can take.
 func (planner *Planner) mayRestoreTogether(group []int) bool {
-	if !planner.anyWarm(func(int) bool { return true }) {
-		return false // the load of the other tables counts as well, see loadWithoutWarmBackends
+	if !planner.anyWarm(inFleet) {
+		return false // the load of the other tables counts as well, see overloadsColdBackend
 	}
 	for _, i := range group {
-		rested := planner.now >= planner.overloadExcludedAt[i]+minOverloadExclusion
-		if !rested || planner.sentTooHeavy(i) || planner.restoredZoneLoad[i] > planner.coldLoadBound(i) {
+		load := planner.restoredZoneLoad[i] + planner.expectedLoad[i] - planner.expectedZoneLoad[i]
+		overloaded := load > coldZoneHysteresis*planner.collapseLoad(i)
+		if overloaded || !planner.pausedAfterOverload(i) || planner.sentTooHeavy(i) {
 			return false
 		}
 	}
