--- a/review/standins-2/crowd.go
+++ b/review/standins-2/crowd.go
@@ -17,7 +17,7 @@
 	}
 	w.sockets = 256
 	w.addCoordinators(w.zones[1:]...)
-	w.addFleet(10, 76, 0.5)
+	w.addFleet(10, 76, 0.68)
 	for i, p := range w.proxies {
 		for k := range w.coordinators {
 			p.preferred = append(p.preferred, w.coordinators[(i+k)%3])
@@ -30,12 +30,12 @@
 				w.coordinators[0].stop(syscall.SIGKILL)
 				w.coordinators[1].stop(syscall.SIGKILL)
 			}
-			time.Sleep(3 * time.Second)
-			for _, s := range w.zoneServers(w.zones[0])[:5] {
+			time.Sleep(time.Second)
+			for _, s := range w.zoneServers(w.zones[0])[:6] {
 				w.discovery.health(s.name, "leaving")
 				time.AfterFunc(2*time.Second, s.die)
 			}
-			time.Sleep(5 * time.Second)
+			time.Sleep(7 * time.Second)
 			if os.Getenv("CRASH") != "0" {
 				for _, c := range w.coordinators[:2] {
 					if err := c.start(c.known()); err != nil {
--- a/review/standins-2/shortdrain.go
+++ b/review/standins-2/shortdrain.go
@@ -28,19 +28,20 @@
 	}), nil
 }
 
-// replaceAll replaces servers one by one, within a time. Each drains for 2 s. The list shows the draining and the end of a server
-// 1.7 to 4.8 s late, for the last ones the draining latest.
+// replaceAll replaces servers one by one, within a time. Each drains for 3.3 s. The list shows the draining and the end of a server
+// 1.7 to 4.8 s late; for the last ones the draining latest, so that it shows them as draining for a quarter of a second.
 func (w *world) replaceAll(count int, within time.Duration, last int) {
+	const drain = 3300 * time.Millisecond
 	names := append([]string{}, w.serverOrder...)
 	for i, k := range rand.Perm(len(names))[:count] {
 		former := w.servers[names[k]]
 		drainLate, goneLate := 2*time.Second, 2500*time.Millisecond
 		if i >= count-last {
-			drainLate, goneLate = 4*time.Second, 2200*time.Millisecond
+			drainLate, goneLate = 4750*time.Millisecond, 1700*time.Millisecond
 		}
 		time.AfterFunc(drainLate, func() { w.discovery.health(former.name, "leaving") })
-		time.AfterFunc(2*time.Second, former.die)
-		time.AfterFunc(2*time.Second+goneLate, func() { w.discovery.health(former.name, "left") })
+		time.AfterFunc(drain, former.die)
+		time.AfterFunc(drain+goneLate, func() { w.discovery.health(former.name, "left") })
 		successor := w.addServer(former.zone)
 		if err := successor.start(time.Now()); err != nil {
 			w.record.cannotRun(err)
