--- a/review/standins-2/coordinator.go
+++ b/review/standins-2/coordinator.go
@@ -28,6 +28,7 @@
 	name      string
 	listen    string
 	discovery string
+	road      *relay // to discovery
 	index     int
 	zone      string
 
@@ -49,10 +50,9 @@
 	lines  int
 }
 
-func (c *coordinator) onTold(document listDocument) {
+func (c *coordinator) onTold(document listDocument, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
 	if c.firstAnswer.IsZero() {
 		c.firstAnswer = now
 	}
@@ -76,6 +76,13 @@
 func (c *coordinator) learn(entry host, now time.Time) {
 	former, known := c.told[entry.Host]
 	if known && former.entry.Health == entry.Health && former.entry.BornMs == entry.BornMs {
+		if now.Before(former.since) { // what was lost at first has arrived before it would have counted as told
+			former.since = now
+			if !former.closed.IsZero() {
+				former.closed = now
+			}
+			c.told[entry.Host] = former
+		}
 		return
 	}
 	news := knowledge{entry: entry, since: now}
@@ -116,7 +123,7 @@
 	settings := c.world.settings(c)
 	config := map[string]any{
 		"name": c.name, "listen": c.listen, "discovery": c.discovery, "seed": fmt.Sprintf("%016x", rand.Uint64()),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": c.world.sockets}, "known": known, "settings": settings,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings,
 	}
 	data, err := json.MarshalIndent(config, "", " ")
 	if err != nil {
--- a/review/standins-2/discovery.go
+++ b/review/standins-2/discovery.go
@@ -29,8 +29,15 @@
 	Hosts []host `json:"hosts"`
 }
 
-// toldFunc is called once discovery has written the answer to a coordinator.
-type toldFunc func(document listDocument)
+// toldFunc is called once discovery has written the answer to a coordinator, with the time from which it counts as told.
+type toldFunc func(document listDocument, from time.Time)
+
+// lostAnswer and lostWait are the latest times at which an answer that doesn't arrive counts as told: after the call, or after the end
+// of the wait of a call that may wait.
+const (
+	lostAnswer = 6 * time.Second
+	lostWait   = 2 * time.Second
+)
 
 // discovery is the single list service. Each coordinator reaches it at an address of its own, so that discovery knows whom it
 // has told what.
@@ -40,12 +47,13 @@
 	order   []string
 	entries map[string]host
 	changed chan struct{} // closed and replaced at each change
+	waits   chan struct{} // gets a value when a call that may wait arrives, if somebody listens
 	calls   sync.Mutex    // calls are handled one at a time, except while they wait
 	record  *record
 }
 
 func newDiscovery(r *record) *discovery {
-	return &discovery{seq: 40, entries: map[string]host{}, changed: make(chan struct{}), record: r}
+	return &discovery{seq: 40, entries: map[string]host{}, changed: make(chan struct{}), waits: make(chan struct{}), record: r}
 }
 
 // set changes an entry; the change is one version.
@@ -72,6 +80,22 @@
 	d.set(entry)
 }
 
+// healthAll changes the health of several entries, as one version.
+func (d *discovery) healthAll(names []string, health string) {
+	d.mu.Lock()
+	d.seq++
+	for _, name := range names {
+		entry := d.entries[name]
+		entry.Health, entry.seq = health, d.seq
+		d.entries[name] = entry
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+	seq := d.seq
+	d.mu.Unlock()
+	d.record.say("list version %d: %v are %s", seq, names, health)
+}
+
 // whole returns the whole list.
 func (d *discovery) whole() listDocument {
 	d.mu.Lock()
@@ -99,7 +123,9 @@
 }
 
 // listen serves the list at an address of its own until ctx ends.
-func (d *discovery) listen(ctx context.Context, told toldFunc) (string, error) {
+//
+// loses tells whether its answers are lost on the way at present.
+func (d *discovery) listen(ctx context.Context, loses func() bool, told toldFunc) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -108,7 +134,7 @@
 	mux.HandleFunc("GET /api/targets", func(w http.ResponseWriter, request *http.Request) {
 		d.calls.Lock()
 		defer d.calls.Unlock()
-		document := d.whole()
+		document, latest := d.whole(), time.Now().Add(lostAnswer)
 		if text := request.URL.Query().Get("since"); text != "" {
 			version, err := strconv.Atoi(text)
 			timeout, err2 := strconv.Atoi(request.URL.Query().Get("timeout_ms"))
@@ -116,6 +142,13 @@
 				http.Error(w, "bad numbers", http.StatusBadRequest)
 				return
 			}
+			if timeout > 0 {
+				latest = time.Now().Add(time.Duration(timeout)*time.Millisecond + lostWait)
+				select {
+				case d.waits <- struct{}{}:
+				default:
+				}
+			}
 			document = d.wait(request.Context(), version, time.Duration(min(timeout, 60000))*time.Millisecond)
 		}
 		body, err := json.Marshal(document)
@@ -126,7 +159,13 @@
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		if _, err := w.Write(body); err == nil && http.NewResponseController(w).Flush() == nil {
-			told(document)
+			if loses() {
+				d.record.say("the answer with version %d is lost; it counts as told from %.3f at the latest", document.Seq,
+					latest.Sub(d.record.start).Seconds())
+				told(document, latest)
+				return
+			}
+			told(document, time.Now())
 		}
 	})
 	server := &http.Server{Handler: mux}
--- a/review/standins-2/proxy.go
+++ b/review/standins-2/proxy.go
@@ -20,23 +20,22 @@
 	zone  string
 	rates []float64 // requests a second, by class
 
-	mu         sync.Mutex
-	running    bool
-	ordered    bool                 // it holds an ordered table
-	tables     []map[string]float64 // weights, by class
-	shutOut    map[string]bool
-	retry      []int // by class
-	conn       net.Conn
-	at         *coordinator // of the stream
-	joined     bool
-	joinedAt   time.Time
-	turnedAway bool        // the coordinator ended its last stream, so that the time limits go on
-	sentTo     []time.Time // when messages were written to it on this stream
-	preferred  []*coordinator
-	stop       chan struct{}
-	usage      []counts // since the last report, by class
-	bareSince  []time.Time
-	bareNoted  []bool
+	mu        sync.Mutex
+	running   bool
+	ordered   bool                 // it holds an ordered table
+	tables    []map[string]float64 // weights, by class
+	shutOut   map[string]bool
+	retry     []int // by class
+	conn      net.Conn
+	at        *coordinator // of the stream
+	joined    bool
+	joinedAt  time.Time
+	sentTo    []time.Time // when messages were written to it on this stream
+	preferred []*coordinator
+	stop      chan struct{}
+	usage     []counts // since the last report, by class
+	bareSince []time.Time
+	bareNoted []bool
 }
 
 // counts are those of a report.
@@ -124,10 +123,7 @@
 	for _, rate := range p.rates {
 		weight += rate
 	}
-	if !p.turnedAway || p.at != at {
-		p.joinedAt = time.Now()
-	}
-	p.conn, p.at, p.joined, p.sentTo = conn, at, true, nil
+	p.conn, p.at, p.joined, p.joinedAt, p.sentTo = conn, at, true, time.Now(), nil
 	shutOut := slices.Sorted(maps.Keys(p.shutOut))
 	p.mu.Unlock()
 	line := fmt.Sprintf("attach proxy=%d zone=%s weight=%.1f fresh=%d\r\n", p.id, p.zone, weight, fresh)
@@ -145,7 +141,6 @@
 	if p.conn == conn {
 		p.joined, p.conn = false, nil
 	}
-	p.turnedAway = p.running && at.isReady()
 	p.mu.Unlock()
 	p.world.record.say("proxy %d: stream to %s ended", p.id, at.name)
 	return true
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -56,7 +56,6 @@
 	fallTime     time.Duration
 	capacity     float64 // requests a second that a warm server of share 1 can do
 	onlyDraining bool    // OnlyDrainingBinds
-	sockets      int     // descriptors that a coordinator may hold
 	redialMin    time.Duration
 	redialMax    time.Duration
 	latency      time.Duration            // usual time of an answer
@@ -101,7 +100,7 @@
 		period: time.Second, reportDelay: 700 * time.Millisecond, messagesMax: 20, messageSpan: 10 * time.Second,
 		unservedMax: 3700 * time.Millisecond, drainGrace: 2 * time.Second, warmAfter: 17 * time.Second, coldShare: 0.18,
 		fallFactor: 3, fallTime: 2 * time.Second, capacity: 8.5, redialMin: 540 * time.Millisecond, redialMax: 2300 * time.Millisecond,
-		latency: 330 * time.Millisecond, sockets: 1024, servers: map[string]*server{}, seen: map[reportKey]*counts{}, last: map[string]int{},
+		latency: 330 * time.Millisecond, servers: map[string]*server{}, seen: map[reportKey]*counts{}, last: map[string]int{},
 	}
 	w.addCoordinators(w.zones[0])
 	return w, nil
@@ -328,7 +327,12 @@
 
 // prepare gives the coordinator its addresses.
 func (c *coordinator) prepare(ctx context.Context) error {
-	address, err := c.world.discovery.listen(ctx, c.onTold)
+	c.road = &relay{}
+	target, err := c.world.discovery.listen(ctx, c.road.losing.Load, c.onTold)
+	if err != nil {
+		return err
+	}
+	address, err := c.road.listen(ctx, target)
 	if err != nil {
 		return err
 	}
@@ -413,7 +417,7 @@
 // checkDrain checks that a joined proxy doesn't send to a server that its coordinator has long known to be draining or gone. The
 // proxy's lock is held.
 func (w *world) checkDrain(p *proxy, target *server) {
-	if !p.joined && !p.turnedAway || p.at == nil {
+	if !p.joined || p.at == nil {
 		return
 	}
 	known := p.at.knows(target.name)
