--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -73,13 +73,13 @@
 	return true, load, limit
 }
 
-// listen takes the server's address, and keeps it over restarts.
+// start starts the server's process. It keeps its address over restarts.
 func (s *server) start(born time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	addr := s.addr
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addr = freeAddress()
 	}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -336,8 +336,7 @@
 	if err != nil {
 		return err
 	}
-	// A loopback address of its own, so that nobody takes the port before the coordinator does.
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250)))
+	listener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return err
 	}
@@ -345,6 +344,11 @@
 	return listener.Close()
 }
 
+// freeAddress returns a loopback address of its own, without a port. Nobody else takes a port of it while its party is down.
+func freeAddress() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
+}
+
 // endAll ends all that the case started.
 func (w *world) endAll() {
 	for _, p := range w.proxies {
