Judge cold backends of a zone by their load, whatever warm ones stand beside them

Cause: overloadsColdBackend protected cold backends of a zone only while the zone had no warm one, and counted warm backends that arcs avoid. A healthy warm one switched the protection off as well, although it takes only its part of the load.

Change: for zone-local tables the expected load decides; what an excluded backend would get is computed from healthy backends; for other tables a warm backend counts if it is reachable and not ejected. Rule 1 holds: an arc without another usable backend takes a warm one, healthy or not.

--- a/choice/arcs.go
+++ b/choice/arcs.go
@@ -215,11 +215,14 @@
 	}
 }
 
-// eligible reports whether arcs of a zone may include a backend: it is not ejected there, reachable and warmed up far enough.
+// eligible reports whether arcs of a zone may include a backend: it is healthy there and warmed up far enough.
 func (r *ring) eligible(i, zone int) bool {
-	planner := r.planner
-	healthy := planner.ejectedUntil[i][zone] <= planner.now && !planner.unreachable(i)
-	return healthy && planner.warmupFactor[i] >= min(r.requiredWarmupFactor, 1)
+	return r.planner.healthy(i, zone) && r.planner.warmupFactor[i] >= min(r.requiredWarmupFactor, 1)
+}
+
+// healthy reports whether a backend is reachable and not ejected from the arcs of a zone.
+func (planner *Planner) healthy(i, zone int) bool {
+	return planner.ejectedUntil[i][zone] <= planner.now && !planner.unreachable(i)
 }
 
 // ensureMinArcs adds each backend that is in fewer than minArcsPerBackend arcs to the arcs that would reach it next on the
--- a/choice/ring.go
+++ b/choice/ring.go
@@ -181,28 +181,52 @@
 // exclusion is withdrawn.
 func (r *ring) addExpectedLoad(walk *arcWalk) {
 	planner, rate := r.planner, walk.proxy.tableRate(walk.table)
-	usableWeight, arcWeight := 0.0, 0.0
-	weight := func(i int) float64 { return planner.warmupFactor[i] * planner.weight[i] }
+	usableWeight := r.arcWeight(walk, func(i int) bool { return !planner.excluded[i] })
+	if walk.table.zoneLocal {
+		r.addExpectedZoneLoad(walk, usableWeight)
+		return
+	}
 	for _, i := range walk.arc {
-		arcWeight += weight(i)
-		if !planner.excluded[i] {
-			usableWeight += weight(i)
+		totalWeight := usableWeight
+		if planner.excluded[i] {
+			totalWeight += r.entryWeight(i)
 		}
+		planner.expectedLoad[i] += rate * r.entryWeight(i) / totalWeight
 	}
+}
+
+// addExpectedZoneLoad does so for an arc that is limited to its zone. Once an exclusion is withdrawn there, the load is shared
+// with the healthy backends only, because such an arc has others just while it lacks these.
+func (r *ring) addExpectedZoneLoad(walk *arcWalk, usableWeight float64) {
+	planner, rate := r.planner, walk.proxy.tableRate(walk.table)
+	healthy := func(i int) bool { return planner.healthy(i, walk.proxy.zone) }
+	healthyWeight := r.arcWeight(walk, healthy)
+	healthyUsableWeight := r.arcWeight(walk, func(i int) bool { return !planner.excluded[i] && healthy(i) })
 	for _, i := range walk.arc {
 		totalWeight := usableWeight
 		if planner.excluded[i] {
-			totalWeight += weight(i)
+			totalWeight = healthyUsableWeight + r.entryWeight(i)
 		}
-		load := rate * weight(i) / totalWeight
+		load := rate * r.entryWeight(i) / totalWeight
 		planner.expectedLoad[i] += load
-		if walk.table.zoneLocal {
-			planner.expectedZoneLoad[i] += load
-			planner.restoredZoneLoad[i] += rate * weight(i) / arcWeight
+		planner.expectedZoneLoad[i] += load
+		planner.restoredZoneLoad[i] += rate * r.entryWeight(i) / max(healthyWeight, r.entryWeight(i))
+	}
+}
+
+// arcWeight returns the total weight of an arc's backends for which the condition holds.
+func (r *ring) arcWeight(walk *arcWalk, condition func(i int) bool) (total float64) {
+	for _, i := range walk.arc {
+		if condition(i) {
+			total += r.entryWeight(i)
 		}
 	}
+	return total
 }
 
+// entryWeight returns the weight of a backend in tables.
+func (r *ring) entryWeight(i int) float64 { return r.planner.warmupFactor[i] * r.planner.weight[i] }
+
 // setDesiredTable makes the backends of an arc the desired entries of its table, and has the proxy checked for a push if they
 // changed.
 func (r *ring) setDesiredTable(walk *arcWalk) {
--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -78,6 +78,18 @@
 	return false
 }
 
+// warmTakesLoad reports whether each joined proxy can use a warm backend somewhere in the fleet: one that is reachable and not
+// ejected for the proxy's zone. A warm backend that arcs avoid takes no load off the cold ones.
+func (planner *Planner) warmTakesLoad() bool {
+	for zone := range len(planner.zoneIndex) {
+		inUse := slices.ContainsFunc(planner.proxies, func(proxy *proxyActor) bool { return proxy.joined && proxy.zone == zone })
+		if inUse && !planner.anyWarm(func(i int) bool { return planner.healthy(i, zone) }) {
+			return false
+		}
+	}
+	return true
+}
+
 // collapseLoad returns the load of this instance's proxies, in requests a second, at which a cold backend may collapse. It is
 // estimated from provenRatePerWeight, which is less than what a backend can do, and much less if it was measured at very little
 // traffic.
@@ -123,9 +135,10 @@
 	return usage / max(planner.ownShare()*weight, 1e-9) // 1e-9 prevents a division by 0
 }
 
-// overloadsColdBackend reports whether the arcs bring a cold backend more load than it can take, while no warm one is listed that
-// could take it instead: none in the fleet or, if a table that is limited to the backend's zone has the backend, none in the zone.
-// All load counts, that of the other tables too.
+// overloadsColdBackend reports whether the arcs bring a cold backend more load than it can take. In the fleet this matters only
+// while no warm backend could take the load instead. Tables that are limited to the backend's zone can't move it elsewhere, so for
+// them it matters even beside warm backends: a few warm ones take only their part of it. All load counts, that of the other tables
+// too.
 func (planner *Planner) overloadsColdBackend(i int) bool {
 	measured := planner.admission.peakSuccessRatePerWeight > 0
 	if !planner.recentlyStarted(i) || !measured && planner.expectedZoneLoad[i] == 0 {
@@ -136,12 +149,11 @@
 	if planner.excluded[i] {
 		fleetLimit, zoneLimit = fleetLimit*coldFleetHysteresis, zoneLimit*coldZoneHysteresis
 	}
-	inZone := func(k int) bool { return planner.zone[k] == planner.zone[i] }
-	if planner.anyWarm(inFleet) {
-		return planner.expectedZoneLoad[i] > 0 && planner.expectedLoad[i] > zoneLimit && !planner.anyWarm(inZone)
+	if planner.expectedZoneLoad[i] > 0 && planner.anyWarm(inFleet) {
+		return planner.expectedLoad[i] > zoneLimit
 	}
 	// Before any success was reported, a fleet that starts as a whole must not be shut.
-	return measured && planner.expectedLoad[i] > fleetLimit
+	return measured && planner.expectedLoad[i] > fleetLimit && !planner.warmTakesLoad()
 }
 
 // inFleet is a condition for anyWarm that holds for all backends.
@@ -149,8 +161,8 @@
 
 // excludeOverloadedCold excludes the open backends for which overloadsColdBackend holds and reports whether it excluded any. It
 // is better that proxies reject requests than that a backend collapses and doesn't recover. Rule 1 of package
-// invariant, that a proxy must have a usable table entry, allows this because it applies only while a warm backend is listed
-// that the table may have.
+// invariant, that a proxy must have a usable table entry, applies only while a warm backend is listed that the table may have;
+// assignArc then adds that one, even if it is unhealthy.
 func (planner *Planner) excludeOverloadedCold() (changed bool) {
 	for i := range planner.id {
 		if planner.state[i] == BackendOpen && !planner.excluded[i] && planner.overloadsColdBackend(i) {
