Restore in a first table whatever a proxy without tables may exclude

Cause: streams took fresh=1 for "excludes nothing".

Change: the state of a backend that the present stream said nothing about is unknown, and each entry of a first table settles it.

Related: with serve, a first table named exclusions from before a restart also for entries that it lists as usable, and nothing withdrew them. A usable entry now ends them.

--- a/internal/fanout/commands.go
+++ b/internal/fanout/commands.go
@@ -42,9 +42,7 @@
 	d.noteChange(command.Table, t)
 	entry := TableEntry{Backend: command.Backend, Weight: command.Weight, Excluded: d.excluded[command.Backend]}
 	for _, subscriber := range t.subscribers {
-		if entry.Excluded {
-			subscriber.sentExclusions[command.Backend] = true
-		}
+		subscriber.noteExclusion(entry)
 		op := subscriber.newOp(OpSetEntry, command.Table)
 		op.Entries = []TableEntry{entry}
 		d.enqueue(subscriber, op, 1)
@@ -101,9 +99,7 @@
 	d.subscribe(subscriber, bound)
 	bindOp := d.completeTable(bound)
 	for _, entry := range bindOp.Entries {
-		if entry.Excluded {
-			subscriber.sentExclusions[entry.Backend] = true
-		}
+		subscriber.noteExclusion(entry)
 	}
 	for backend := range subscriber.sentExclusions {
 		bindOp.Backends = append(bindOp.Backends, backend)
@@ -158,6 +154,17 @@
 	message.Urgent = message.Urgent || op.Kind == OpExclude
 }
 
+// noteExclusion records what a table entry that is sent tells the proxy about the exclusion of its backend. A usable entry ends also
+// an exclusion from before this instance of the module, which the module does not restore.
+func (s *Subscriber) noteExclusion(entry TableEntry) {
+	switch {
+	case entry.Excluded:
+		s.sentExclusions[entry.Backend] = true
+	case entry.Weight > 0:
+		delete(s.sentExclusions, entry.Backend)
+	}
+}
+
 // newOp returns an operation on a table, for the methods that the table is bound for at this proxy.
 func (s *Subscriber) newOp(kind OpKind, id choice.TableID) TableOp {
 	op := TableOp{Kind: kind, Table: id}
--- a/internal/fanout/exclusions_test.go
+++ b/internal/fanout/exclusions_test.go
@@ -92,3 +92,26 @@
 		}
 	}
 }
+
+// A proxy that was told of the exclusions from before a restart is restored the backends that its first table has as usable.
+// Otherwise the table excluded all that it contains: the exclusions were an earlier instance's, and the module, which never
+// excluded these backends itself, would not restore them. Guards against the relative of review case 7 that scenario seed 1349 found.
+func TestFirstTableEndsFormerExclusions(t *testing.T) {
+	distributor := New()
+	distributor.AllMethods = 3
+	distributor.Join(1)
+	distributor.Apply(choice.NotifyExclusions{Proxy: 1})
+	distributor.Flush(func() []choice.BackendID { return []choice.BackendID{7, 8, 9} })
+	distributor.Apply(choice.SetTableEntry{Table: 3, Backend: 7, Weight: 1})
+	distributor.Apply(choice.BindTable{Proxy: 1, Table: 3, Methods: 1})
+	messages, _ := distributor.Flush(nil)
+	if got, want := excludedIn(messages), []choice.BackendID{8, 9}; !slices.Equal(got, want) {
+		t.Errorf("the first table excludes %v, want %v", got, want)
+	}
+	distributor.Apply(choice.SetTableEntry{Table: 3, Backend: 8, Weight: 1})
+	distributor.Apply(choice.BindTable{Proxy: 1, Table: 4, Methods: 2})
+	messages, _ = distributor.Flush(nil)
+	if got, want := excludedIn(messages), []choice.BackendID{9}; !slices.Equal(got, want) {
+		t.Errorf("the second table excludes %v, want %v", got, want)
+	}
+}
--- a/internal/platform/push.go
+++ b/internal/platform/push.go
@@ -117,7 +117,7 @@
 // setExclusion excludes or restores a backend, unless the proxy is known to be in that state already.
 func (b *pushBuilder) setExclusion(id choice.BackendID, excluded bool) {
 	sent, known := b.stream.sentExclusions[id]
-	if known && sent == excluded || !known && !excluded && b.stream.joinedEmpty {
+	if known && sent == excluded {
 		return
 	}
 	b.stream.sentExclusions[id] = excluded
--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -22,10 +22,9 @@
 	lastReceived        statemachine.Seconds // when data was last received on this stream
 
 	// sentExclusions has the last exclusion state sent on this stream: true for an excluded backend, false for a restored one.
-	// A proxy keeps exclusions across streams, and other coordinators send them as well. So the state of a backend that is
-	// not in the map is unknown, unless joinedEmpty is set: then it is not excluded.
+	// A proxy keeps exclusions across streams, and other coordinators send them as well, also to a proxy without tables. So the
+	// state of a backend that is not in the map is unknown.
 	sentExclusions map[choice.BackendID]bool
-	joinedEmpty    bool // the proxy held nothing when it joined; cleared by forgetBackends
 }
 
 // maxNoncesInFlight limits the length of stream.inFlight for a proxy that does not acknowledge.
@@ -50,7 +49,7 @@
 	}
 	joined := &stream{
 		session: peer, proxy: choice.ProxyID(message.Proxy), zone: choice.Zone(message.Zone), rate: message.Rate, lastReceived: now,
-		sentExclusions: map[choice.BackendID]bool{}, joinedEmpty: message.Fresh,
+		sentExclusions: map[choice.BackendID]bool{},
 	}
 	joined.subscriber = m.distributor.Join(joined.proxy)
 	peer.role, peer.stream, peer.decoder.MaxBytes = roleProxy, joined, maxMessageBytes
@@ -96,14 +95,13 @@
 }
 
 // forgetBackends removes backends whose names are forgotten from the sentExclusions of all streams. A proxy may still hold
-// such a backend as excluded. Then its stream's joinedEmpty is cleared, so that a restore is sent if the name comes back.
+// such a backend as excluded; a restore is sent if the name comes back.
 func (m *Machine) forgetBackends(backends []choice.BackendID) {
 	for _, joined := range m.streams {
 		if joined == nil {
 			continue
 		}
 		for _, id := range backends {
-			joined.joinedEmpty = joined.joinedEmpty && !joined.sentExclusions[id]
 			delete(joined.sentExclusions, id)
 		}
 	}
--- a/internal/platform/streams_test.go
+++ b/internal/platform/streams_test.go
@@ -144,3 +144,44 @@
 		t.Errorf("the push after the zone's return is %q, want a whole table for the method submit", second)
 	}
 }
+
+// A proxy without tables may still exclude backends, as another coordinator or an earlier stream told it to. The first table must
+// restore them. Guards against the failure of review case 7: a proxy that was told of exclusions before its first table joined again
+// with fresh=1, got a table of just the backends that it excluded, and rejected all requests from then on.
+func TestProxyWithoutTablesIsSentRestores(t *testing.T) {
+	for _, sameCoordinator := range []bool{true, false} {
+		t.Run(fmt.Sprintf("same coordinator %v", sameCoordinator), func(t *testing.T) {
+			test := newLoopTest(t, nil)
+			discovery := test.acceptDiscovery(3)
+			if sameCoordinator {
+				excludeAllAtFreshProxy(test, discovery)
+				discovery.respond(endpointListJSON(43, false, 3, "127.0.0.1:1", 0))
+				test.eventually("the backends are back", func() bool { return test.machine.distributor.ExcludedCount() == 0 })
+			}
+			proxy := test.dial()
+			fmt.Fprint(proxy, "attach proxy=2 zone=a weight=5 fresh=1\r\n")
+			push := proxy.readUntil("whole=1")
+			_, restored, _ := strings.Cut(push, " back=")
+			for _, backend := range []string{"s-0", "s-1", "s-2"} {
+				if !strings.Contains(restored, backend) {
+					t.Errorf("the first table is %q, and doesn't restore %s", push, backend)
+				}
+			}
+		})
+	}
+}
+
+// excludeAllAtFreshProxy has all backends leave the endpoint list, so that a proxy without tables joins and is told to exclude three backends. Then
+// its stream ends.
+func excludeAllAtFreshProxy(test *loopTest, discovery *rawConn) {
+	test.t.Helper()
+	discovery.readRequest()
+	discovery.respond(strings.ReplaceAll(endpointListJSON(42, false, 3, "127.0.0.1:1", 0), "active", "left"))
+	discovery.readRequest()
+	test.eventually("all backends are excluded", func() bool { return test.machine.distributor.ExcludedCount() == 3 })
+	proxy := test.dial()
+	fmt.Fprint(proxy, "attach proxy=2 zone=a weight=5 fresh=1\r\n")
+	proxy.readUntil("out=")
+	proxy.reset()
+	test.eventually("the stream has ended", func() bool { return test.machine.streams[2] == nil })
+}
--- a/internal/platform/wire/messages.go
+++ b/internal/platform/wire/messages.go
@@ -22,7 +22,7 @@
 	Proxy int // number of the proxy
 	Zone  string
 	Rate  float64 // RPCs per second that the proxy usually gets
-	Fresh bool    // the proxy has just started and holds no table
+	Fresh bool    // the proxy holds no table; it may hold exclusions
 }
 
 // Acknowledgement reports that a proxy has applied all pushes up to the one with the nonce.
