Let no single report set what backends are known to serve

Cause: the peak success rate, against which the load of cold backends is judged, was the maximum of a sum without a bound on one report, and was never lowered. It also rose when the list shrank, as successes of backends that had left counted.

Change: counts are limited to what all proxies can have sent, latencies to the longest deadline; the peak counts each backend with at most four times the median, the fleet with what was requested, only backends of the capacity it is divided by, and is forgotten after 10 to 20 minutes. The delay in an acknowledgement is not used: one of an hour made a lost acknowledgement wait for 24 minutes. serve limits counts that could overflow. `backend restored` logs `collapse_per_s`.

TestSoleColdBackendIsExcluded, "little usage": the case set one of three methods, so that 54 requests a second stayed, and passed only since late reports raised the peak from 11 to 93. It sets all three now; what it demands is the same.

--- a/choice/admission.go
+++ b/choice/admission.go
@@ -23,8 +23,28 @@
 	successRateGain        = 0.3  // weight of the newest rate in successRatePerWeight, a moving average
 	admittedShareSteps     = 20   // admitted shares are rounded to multiples of 1/20
 	minAdmittedShare       = 0.05 // lower bound of a method's admitted share
+
+	peakWindow               = 600.0 // seconds for which a peak of the success rate is remembered at least, and up to twice that
+	maxMedianSuccessFactor   = 4.0   // a backend counts for the peak with at most this multiple of the backends' median rate per weight
+	maxSuccessesPerRequest   = 1.5   // limit on the fleet's successes for each request; above 1, as the two are reported at different times
+	plausibleCountFloor      = 100.0 // requests or attempts that any report may have
+	plausibleRateFactor      = 4.0   // limit on the rate in a report, as a multiple of all known requests a second
+	maxPlausibleReportPeriod = 10.0  // seconds: longest time since the last report that a report is taken to cover
 )
 
+// plausibleCount limits a count of requests or attempts in a report to what all proxies together can have sent since the last report
+// of its kind. A count above that is wrong, or the usage has grown by a multiple within a report period; the limit then follows it
+// within a few reports. What is left of a wrong count acts like one report of a burst.
+func (a *admission) plausibleCount(count int, lastReportAt Seconds) int {
+	planner := a.planner
+	covered := min(planner.now-lastReportAt, maxPlausibleReportPeriod) + 2*planner.settings.ReportPeriod // reports may be late
+	limit := int(plausibleCountFloor + plausibleRateFactor*max(a.knownRate, sum(a.arrivalRates))*covered)
+	if count > limit {
+		a.logImplausibleCount(count, limit)
+	}
+	return max(0, min(count, limit))
+}
+
 // normalRetry returns the retry policy of a method outside of overloads. Retries after timeouts add to the overload that caused
 // the timeouts. So a retry needs proof that the first attempt was not processed, or a token that all backends surely still
 // remember at the second attempt.
@@ -59,10 +79,7 @@
 	a.relativeLatency = load.weightedLatency / max(load.successRate, 1e-9) // 1e-9 prevents a division by 0
 	a.avoidedShare = load.avoidedAttempts / load.attempts
 	a.updateLoadFactor()
-	if capacity > 1e-6 { // successes reported while no backend is open, such as after an empty list, have no meaningful rate
-		a.successRatePerWeight += successRateGain * (load.successRate/capacity - a.successRatePerWeight)
-		a.peakSuccessRatePerWeight = max(a.peakSuccessRatePerWeight, a.successRatePerWeight)
-	}
+	a.updatePeak(load.provenSuccessRate, capacity)
 	if load.judgedBackends == 0 {
 		return
 	}
@@ -75,6 +92,22 @@
 	}
 }
 
+// updatePeak updates the peak success rate per weight. Decisions rely on it as what backends can surely serve, so no single report
+// may set it: a backend counts with at most a multiple of what is usual for the others, the fleet with at most what was
+// requested, and a peak is forgotten after a while.
+func (a *admission) updatePeak(successRate, capacity float64) {
+	if a.planner.now >= a.peakWindowEnd {
+		a.peakWindowEnd = a.planner.now + peakWindow
+		a.formerWindowPeak, a.windowPeak = a.windowPeak, 0
+	}
+	if capacity > 1e-6 { // successes reported while no backend is open, such as after an empty list, have no meaningful rate
+		successRate = min(successRate, maxSuccessesPerRequest*max(a.knownRate, sum(a.arrivalRates)))
+		a.successRatePerWeight += successRateGain * (successRate/capacity - a.successRatePerWeight)
+		a.windowPeak = max(a.windowPeak, a.successRatePerWeight)
+	}
+	a.peakSuccessRatePerWeight = max(a.windowPeak, a.formerWindowPeak)
+}
+
 // measureBackend adds the reports on one backend to the load of the fleet. Whether the backend is overloaded is judged from the
 // zone where it does best, because a network failure between zones is no overload. A backend that rejects requests in an
 // overload has a full queue, so the requests that succeed are slow. Failures while the fleet's latency is low have another
@@ -91,6 +124,7 @@
 		successRate := (attempts - failures) * decay / healthWindow
 		load.weightedLatency += successRate * planner.meanLatency[i][zone] / a.shortestSoftDeadline
 		load.successRate += successRate
+		load.successRates[i] += successRate
 		if attempts < minAttempts/2 || decay <= 0.2 { // too few attempts, or too long ago, to judge the backend by
 			continue
 		}
--- a/choice/channel.go
+++ b/choice/channel.go
@@ -28,7 +28,8 @@
 	case acknowledged:
 		at := slices.IndexFunc(h.unacked, func(step unackedStep) bool { return step.nonce == msg.nonce })
 		if at >= 0 {
-			ackTime := max(msg.delay, h.planner.now-h.unacked[at].sentAt)
+			// The delay that the proxy gives is part of this time. It is not used, because a wrong one would raise the mean for long.
+			ackTime := h.planner.now - h.unacked[at].sentAt
 			h.meanAckTime += ackTimeGain * (ackTime - h.meanAckTime)
 			h.unacked = h.unacked[at:]
 		}
--- a/choice/estimates.go
+++ b/choice/estimates.go
@@ -11,6 +11,7 @@
 	MeanLatency  Seconds // mean latency of the successful attempts
 	ExpectedRate float64 // requests a second that the tables are expected to bring it
 	WarmupFactor float64 // share of its weight that tables may give it
+	CollapseRate float64 // requests a second of this instance's proxies at which it may collapse while it is cold
 	Ejected      bool    // it is ejected from the arcs of one zone's proxies or more
 	Unreachable  bool    // its last two probes failed, see Planner.unreachable
 }
@@ -37,7 +38,7 @@
 func (planner *Planner) estimate(i int) BackendEstimate {
 	estimate := BackendEstimate{
 		Backend: planner.id[i], ExpectedRate: planner.expectedLoad[i], WarmupFactor: planner.warmupFactor[i],
-		Unreachable: planner.unreachable(i),
+		CollapseRate: planner.collapseLoad(i), Unreachable: planner.unreachable(i),
 	}
 	failureRate, latencySum := 0.0, 0.0
 	for zone, attempts := range planner.attempts[i] {
--- a/choice/messages.go
+++ b/choice/messages.go
@@ -45,8 +45,10 @@
 		planner.send(planner.channel, acknowledged{event.Nonce, event.Delay})
 		planner.send(planner.proxy(event.Proxy), event)
 	case UsageReport:
+		proxy := planner.proxy(event.Proxy)
+		event.RPCs = planner.admission.plausibleCount(event.RPCs, proxy.usageReportedAt[event.Method])
 		planner.send(planner.admission, event)
-		planner.send(planner.proxy(event.Proxy), event)
+		planner.send(proxy, event)
 	case AttemptReport:
 		if i, ok := planner.indexOf[event.Backend]; ok {
 			planner.send(planner.backends[i], event)
--- a/choice/slowstart_test.go
+++ b/choice/slowstart_test.go
@@ -111,6 +111,7 @@
 				update.Endpoints = append(update.Endpoints, Endpoint{Backend: 8, State: BackendOpen, Zone: "a", Weight: 1})
 			}
 			for _, proxy := range fleet.planner.proxies {
+				clear(proxy.usage) // the rate given at the join, of methods that were not reported on since
 				proxy.usage[0] = test.rate
 			}
 			fleet.step(1.1, update)
--- a/internal/coordinator/reports.go
+++ b/internal/coordinator/reports.go
@@ -18,6 +18,9 @@
 	// attemptGatheringPeriods is how long the attempts at a backend are gathered before they are passed on, in report periods.
 	// Within that time most of a zone's other proxies report, too.
 	attemptGatheringPeriods = 0.5
+	// maxReportCount limits the counts of one proxy's report, so that sums can't overflow. It is far above any real value; the
+	// decision module limits counts to what is plausible.
+	maxReportCount = 1e7
 )
 
 // reportAggregator aggregates the reports of proxies for the decision module: attempts are summed by backend and zone, usage
@@ -117,8 +120,8 @@
 
 // extend adds counts that cover a time to the sum.
 func (r *pendingReport) extend(from, to choice.Seconds, count, failures uint64) {
-	r.count += int(count)
-	r.failures += int(failures)
+	r.count += int(min(count, maxReportCount))
+	r.failures += int(min(failures, maxReportCount))
 	r.from = min(r.from, from)
 	r.to = to
 }
--- a/internal/coordinator/reports_test.go
+++ b/internal/coordinator/reports_test.go
@@ -134,3 +134,20 @@
 		t.Fatalf("%d events after the proxy was forgotten, want 1 for the backend", len(rest))
 	}
 }
+
+// A report of more than can be counted must not turn the sum negative, which would look like a backend without attempts.
+func TestReportCountsAreLimited(t *testing.T) {
+	aggregator := newTestAggregator(100, 10, 1)
+	for range 3 {
+		aggregator.add(100, &proxyStream{zone: "a"}, proto.Reports{
+			Span:     1,
+			Usage:    []proto.UsageReport{{Method: 0, RPCs: 1 << 63}},
+			Attempts: []proto.AttemptReport{{Backend: 1, Attempts: 1 << 63, Failures: 1 << 62}},
+		}, allListed, 2)
+	}
+	for _, report := range aggregator.queue {
+		if report.count != 3*maxReportCount || report.failures < 0 {
+			t.Errorf("the sum has %d attempts or requests and %d failures, %.0f and none below 0 wanted", report.count, report.failures, 3*maxReportCount)
+		}
+	}
+}
--- a/internal/platform/decision.go
+++ b/internal/platform/decision.go
@@ -90,8 +90,8 @@
 	out.Write(receiver.session.conn, data)
 }
 
-// logExclusionChange logs that a backend was excluded or restored, at how many proxies, and the module's estimates of its
-// load and of how far it has warmed up, on which the decision depends for a cold backend.
+// logExclusionChange logs that a backend was excluded or restored, at how many proxies, and the module's estimates on
+// which the decision depends for a cold backend: its load, how far it has warmed up, and the load at which it may collapse.
 func (m *Machine) logExclusionChange(change fanout.ExclusionChange, out *statemachine.Effects) {
 	text := "backend restored"
 	if change.Excluded {
@@ -99,7 +99,8 @@
 	}
 	attributes := []any{"backend", m.endpoints.name(change.Backend), "proxies", change.Proxies}
 	if estimate, known := m.planner.Estimate(change.Backend); known {
-		attributes = append(attributes, "expected_per_s", rounded(estimate.ExpectedRate), "warmup_factor", rounded(estimate.WarmupFactor))
+		attributes = append(attributes, "expected_per_s", rounded(estimate.ExpectedRate), "warmup_factor", rounded(estimate.WarmupFactor),
+			"collapse_per_s", rounded(estimate.CollapseRate))
 	}
 	out.Log(levelInfo, text, attributes...)
 }
