Read each connection on its own, in turns, and pause those that send or leave too much

Cause: one queue of received bytes for all connections, an event loop that stopped reading from all when it was full, steps that handled all of it, and no tie between reading requests and sending answers.

Change: an input buffer and a reading goroutine for each connection, which pauses when the buffer is full, when the peer leaves its answers unread, or for good when the peer is gone; steps of 128 KiB in turns; a bound on all unsent data. gnet can't pause one connection and is replaced by the runtime's poller; EventLoops, which nobody set, goes with it.

TestWritesKeepTheirOrderWhenManyTasksWait was about the order of gnet's tasks, which are gone; TestWritesKeepTheirOrderWhenThePeerReadsSlowly asks the same of the goroutine that now sends what the kernel doesn't take at once, over 40 MB.

--- a/cmd/gingerfork/node.go
+++ b/cmd/gingerfork/node.go
@@ -36,7 +36,9 @@
 	writeBufferMemoryDivisor  = 32
 	pendingInputMemoryDivisor = 16
 	largestWriteBuffer        = 4 << 20  // bytes per connection
-	largestPendingInput       = 64 << 20 // bytes of all connections together
+	largestPendingInput       = 16 << 20 // bytes of all connections together
+	unsentMemoryDivisor       = 8
+	largestUnsent             = 64 << 20 // bytes of all connections together
 )
 
 // errNoConfigurationFile is returned when the environment does not name the configuration file.
@@ -118,6 +120,7 @@
 	if nodeConfig.MemoryBytes > 0 {
 		config.MaxWriteBuffer = int(min(largestWriteBuffer, nodeConfig.MemoryBytes/writeBufferMemoryDivisor))
 		config.MaxPendingInput = int(min(largestPendingInput, nodeConfig.MemoryBytes/pendingInputMemoryDivisor))
+		config.MaxUnsent = int(min(largestUnsent, nodeConfig.MemoryBytes/unsentMemoryDivisor))
 	}
 	return config
 }
--- a/internal/eventloop/config.go
+++ b/internal/eventloop/config.go
@@ -12,9 +12,9 @@
 // Defaults of the fields of Bootstrap.
 const (
 	defaultMaxWriteBuffer  = 4 << 20  // bytes per connection
-	defaultMaxPendingInput = 64 << 20 // bytes, of all connections together
+	defaultMaxUnsent       = 64 << 20 // bytes, of all connections together
+	defaultMaxPendingInput = 16 << 20 // bytes, of all connections together
 	defaultDialTimeout     = 5 * time.Second
-	defaultEventLoops      = 1
 )
 
 // Bootstrap is the configuration of a Loop. Only Machine is required; the other fields document the meaning of their zero
@@ -28,13 +28,14 @@
 	Store *store.Store
 	// Dir is the directory for the files that the machine saves; "": they are discarded.
 	Dir string
-	// EventLoops is the number of gnet event loops that read and write; 0: one.
-	EventLoops int
 	// MaxWriteBuffer limits the unsent bytes of a connection whose peer does not read; a connection that would exceed it
 	// is reset. 0: 4 MiB.
 	MaxWriteBuffer int
-	// MaxPendingInput limits the received bytes that wait for the machine; above it reading from all connections is
-	// suspended. 0: 64 MiB.
+	// MaxUnsent limits the unsent bytes of all connections together; a connection whose peer does not read and that would exceed
+	// it is reset. 0: 64 MiB.
+	MaxUnsent int
+	// MaxPendingInput limits the received bytes that wait for the machine. Each connection may have an equal part of it waiting, at
+	// least 4 KiB and at most 64 KiB, and is not read above that. 0: 16 MiB.
 	MaxPendingInput int
 	// MaxConnections limits the number of connections, including those being dialed; at the limit none is accepted until
 	// one has closed. The machine chooses which connections to close, and must do so below this limit. 0: unlimited.
@@ -58,7 +59,7 @@
 	b.MaxWriteBuffer = valueOrDefault(b.MaxWriteBuffer, defaultMaxWriteBuffer)
 	b.MaxPendingInput = valueOrDefault(b.MaxPendingInput, defaultMaxPendingInput)
 	b.DialTimeout = valueOrDefault(b.DialTimeout, defaultDialTimeout)
-	b.EventLoops = valueOrDefault(b.EventLoops, defaultEventLoops)
+	b.MaxUnsent = valueOrDefault(b.MaxUnsent, defaultMaxUnsent)
 	if b.Log == nil {
 		b.Log = slog.New(slog.DiscardHandler)
 	}
--- a/internal/eventloop/connection.go
+++ b/internal/eventloop/connection.go
@@ -2,125 +2,124 @@
 
 import (
 	"context"
-	"fmt"
-
-	"github.com/panjf2000/gnet/v2"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
 
 	"gingerfork/internal/statemachine"
 )
 
-// connection is one connection, from accept or dial until it is closed. Each group of fields is owned by one goroutine.
+// connection is one connection, from accept or dial until it is closed. Each group of fields has one owner.
 type connection struct {
 	// Set at creation and never changed.
 	id         statemachine.Conn
 	listener   int                // index into Bootstrap.Listen; 0 if the connection was dialed
 	cancelDial context.CancelFunc // cancels the dial; nil if the connection was accepted
 
-	// Set by OnOpen before ConnOpened is enqueued, and never changed afterwards.
-	gnetConn gnet.Conn
+	// Set by startConnection before ConnOpened is queued, and never changed afterwards.
+	tcp *net.TCPConn
+	raw syscall.RawConn // of tcp
 
 	// Owned by the machine's goroutine.
 	opened   bool // ConnOpened was passed to the machine
 	released bool // the machine closed or aborted the connection, and gets no further input for it
 
-	// Owned by the connection's event loop.
-	slowReader bool // the connection was reset because its peer did not read
-	closed     bool // gnet has closed the connection, so another one may already use its file descriptor
+	// Guarded by Loop.mu.
+	input connectionInput
+
+	output outputBuffer
+
+	slowReader atomic.Bool // the connection was reset because its peer did not read
 }
 
-// connectionTask is an action on a connection that the connection's event loop carries out.
-type connectionTask struct {
-	connection *connection
-	kind       statemachine.ActionKind // ActionWrite, ActionClose or ActionAbort
-	data       []byte                  // bytes to send; set for ActionWrite
+// newConnection returns a connection that is not open yet.
+func newConnection(id statemachine.Conn, loop *Loop) *connection {
+	conn := &connection{id: id}
+	conn.input.room = sync.NewCond(&loop.mu)
+	return conn
+}
+
+// accepted reports whether the connection was accepted, not dialed.
+func (c *connection) accepted() bool { return c.id&statemachine.DialedBit == 0 }
+
+// errStopping is returned for a connection that is opened while the loop ends.
+var errStopping = errors.New("the loop is stopping")
+
+// startConnection begins to read from a connection that was accepted or dialed. After an error the caller closes the connection.
+func (l *Loop) startConnection(conn *connection, tcp *net.TCPConn) error {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	conn.tcp, conn.raw = tcp, raw
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopping {
+		return errStopping
+	}
+	l.open[conn] = true
+	conn.input.opened = true
+	l.markReady(conn)
+	l.background.Go(func() { l.readConnection(conn) })
+	l.wakeMachine()
+	return nil
 }
 
 // applyAction carries out one action requested by the machine. It runs on the machine's goroutine.
-func (l *Loop) applyAction(action statemachine.Action) error {
+func (l *Loop) applyAction(action statemachine.Action) {
 	if action.Kind == statemachine.ActionDial {
 		l.startDial(action.Conn, action.Addr)
-		return nil
+		return
 	}
 	conn := l.connections[action.Conn]
 	if conn == nil || conn.released {
-		return nil
-	}
-	if action.Kind != statemachine.ActionWrite {
-		conn.released = true
-		delete(l.connections, action.Conn)
+		return
 	}
-	if !conn.opened {
-		if conn.released {
-			// Canceling releases the descriptor of the dial immediately. If the connection has just been opened,
-			// trackConnection closes it.
-			conn.cancelDial()
+	if action.Kind == statemachine.ActionWrite {
+		if conn.opened {
+			l.write(conn, action.Data)
 		}
-		return nil
+		return
 	}
-	err := l.submit(connectionTask{connection: conn, kind: action.Kind, data: action.Data})
-	if err != nil && l.ctx.Err() == nil {
-		return fmt.Errorf("submit a task to an event loop: %w", err)
+	conn.released = true
+	delete(l.connections, action.Conn)
+	l.discardInput(conn)
+	switch {
+	case !conn.opened:
+		// Canceling releases the descriptor of the dial immediately. If the connection has just been opened, takeInputs closes
+		// it.
+		conn.cancelDial()
+	case action.Kind == statemachine.ActionAbort:
+		l.resetConnection(conn)
+	default:
+		l.closeWhenSent(conn)
 	}
-	return nil
 }
 
-// submit queues a task for its connection's event loop. Tasks of one event loop run in the order of submission. gnet alone
-// does not guarantee that: it defers tasks that are submitted while many are queued, and may run later ones first.
-func (l *Loop) submit(task connectionTask) error {
-	eventLoop := task.connection.gnetConn.EventLoop()
-	l.tasksMu.Lock()
-	waiting := len(l.tasks[eventLoop])
-	l.tasks[eventLoop] = append(l.tasks[eventLoop], task)
-	l.tasksMu.Unlock()
-	if waiting > 0 {
-		return nil // the run requested for the first queued task also runs this one
-	}
-	return eventLoop.Execute(l.ctx, gnet.RunnableFunc(func(context.Context) error {
-		l.tasksMu.Lock()
-		tasks := l.tasks[eventLoop]
-		l.tasks[eventLoop] = nil
-		l.tasksMu.Unlock()
-		for _, task := range tasks {
-			l.runTask(task)
-		}
-		return nil
-	}))
+// resetConnection closes a connection and discards unsent data.
+func (l *Loop) resetConnection(conn *connection) {
+	_ = conn.tcp.SetLinger(0) // if this fails, the close is orderly instead of a reset, which is acceptable
+	l.closeConnection(conn)
 }
 
-// runTask carries out one task, on the event loop of its connection.
-func (l *Loop) runTask(task connectionTask) {
-	conn := task.connection
-	// The connection may have been closed since the task was submitted. gnet writes to the descriptor number regardless of
-	// which connection uses it now.
-	if conn.closed {
-		return
-	}
-	switch task.kind {
-	case statemachine.ActionWrite:
-		l.write(conn, task.data)
-	case statemachine.ActionAbort:
-		resetConnection(conn.gnetConn)
-	default:
-		_ = conn.gnetConn.Close() // the machine gets no more input for it, and the error has no diagnostic value
-	}
+// closeConnection closes the socket of a connection, and ends a wait of its reader, which reports the close.
+func (l *Loop) closeConnection(conn *connection) {
+	_ = conn.tcp.Close() // the error has no diagnostic value
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn.input.ended = true
+	conn.input.room.Signal()
 }
 
-// write sends data. It resets the connection if its peer reads so slowly that more than MaxWriteBuffer would be buffered.
-func (l *Loop) write(conn *connection, data []byte) {
-	if conn.slowReader {
-		return
-	}
-	if conn.gnetConn.OutboundBuffered()+len(data) > l.config.MaxWriteBuffer {
-		conn.slowReader = true
-		l.recordSlowReader()
-		resetConnection(conn.gnetConn)
-		return
+// closeConnections closes all open connections, and ends all waits of readers.
+func (l *Loop) closeConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
+		_ = conn.tcp.Close() // nothing more is read or sent
+		conn.input.ended = true
+		conn.input.room.Signal()
 	}
-	_, _ = conn.gnetConn.Write(data) // gnet closes the connection after a failed write, which OnClose reports
-}
-
-// resetConnection closes a connection and discards unsent data.
-func resetConnection(gnetConn gnet.Conn) {
-	_ = gnetConn.SetLinger(0) // if this fails, the close is orderly instead of a reset, which is acceptable
-	_ = gnetConn.Close()      // OnClose reports the close
 }
--- a/internal/eventloop/connection_test.go
+++ b/internal/eventloop/connection_test.go
@@ -1,16 +1,14 @@
 package eventloop
 
 import (
-	"context"
 	"io"
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"gingerfork/internal/statemachine"
 )
 
@@ -64,14 +62,23 @@
 func queuedConnections(loop *Loop, kind statemachine.InputKind) (queued []*connection) {
 	loop.mu.Lock()
 	defer loop.mu.Unlock()
-	for _, entry := range loop.queue {
-		if entry.input.Kind == kind && entry.connection != nil {
-			queued = append(queued, entry.connection)
+	for _, conn := range loop.ready {
+		if kind == statemachine.ConnOpened && conn.input.opened || kind == statemachine.ConnClosed && conn.input.closed {
+			queued = append(queued, conn)
 		}
 	}
 	return queued
 }
 
+// descriptor returns the file descriptor of a connection.
+func descriptor(t *testing.T, conn *connection) (number int) {
+	t.Helper()
+	if err := conn.raw.Control(func(descriptor uintptr) { number = int(descriptor) }); err != nil {
+		t.Fatal(err)
+	}
+	return number
+}
+
 // Connections are closed after the machine has decided to write to them or abort them, and before that is carried out, and
 // new connections reuse their descriptors. The new connections must receive no byte of theirs, and must be closed in an
 // orderly way, not by a reset meant for a closed connection.
@@ -104,7 +111,7 @@
 			// The effects of the paused step are submitted before the next step, so they are carried out before these closes.
 			loop.RunBetweenSteps(func() {
 				for _, c := range opened {
-					loop.closeUnwanted(c)
+					loop.closeConnection(c)
 				}
 			})
 			for i, conn := range fresh {
@@ -132,7 +139,7 @@
 			accepted = len(loop.connections)
 			clear(descriptors)
 			for _, c := range loop.connections {
-				descriptors[c.gnetConn.Fd()] = true
+				descriptors[descriptor(t, c)] = true
 			}
 		})
 		return accepted == count
@@ -146,7 +153,7 @@
 	t.Helper()
 	reused := func() (n int) {
 		for _, c := range queuedConnections(loop, statemachine.ConnOpened) {
-			if descriptors[c.gnetConn.Fd()] {
+			if descriptors[descriptor(t, c)] {
 				n++
 			}
 		}
@@ -187,51 +194,29 @@
 	}
 }
 
-// gnetTaskLimit is the number of queued tasks from which on gnet defers new ones.
-const gnetTaskLimit = 1024
-
-// A gnet event loop with many queued tasks defers new ones and may run later tasks before them. The writes of a connection
-// must keep their order even then, because each push builds on the previous one.
-func TestWritesKeepTheirOrderWhenManyTasksWait(t *testing.T) {
-	loop := startLoop(t, Bootstrap{Machine: &broadcastMachine{}})
+// The writes of a connection must keep their order when its peer reads slowly, so that a part of them is sent by a goroutine of its own:
+// each push builds on the previous one.
+func TestWritesKeepTheirOrderWhenThePeerReadsSlowly(t *testing.T) {
+	loop := startLoop(t, Bootstrap{Machine: &broadcastMachine{}, MaxWriteBuffer: 64 << 20, MaxUnsent: 128 << 20})
 	conn := dial(t, loop.Addrs()[0])
-	var eventLoop gnet.EventLoop
 	eventually(t, "the connection is accepted", func() bool {
-		runAndWait(loop, func() {
-			for _, c := range loop.connections {
-				eventLoop = c.gnetConn.EventLoop()
-			}
-		})
-		return eventLoop != nil
+		accepted := false
+		runAndWait(loop, func() { accepted = len(loop.connections) == 1 })
+		return accepted
 	})
-	paused, resume := make(chan struct{}), make(chan struct{})
-	execute := func(task func()) {
-		t.Helper()
-		runnable := gnet.RunnableFunc(func(context.Context) error { task(); return nil })
-		if err := eventLoop.Execute(context.Background(), runnable); err != nil {
+	const writes, size = 400, 100_000 // far more than the kernel's buffers take
+	for number := range writes {
+		loop.SendCommand(strings.Repeat(string(rune('a'+number%26)), size))
+	}
+	runAndWait(loop, func() {})
+	got := make([]byte, size)
+	for number := range writes {
+		conn.SetReadDeadline(time.Now().Add(testTimeout))
+		if _, err := io.ReadFull(conn, got); err != nil {
 			t.Fatal(err)
 		}
-	}
-	pause := func() { paused <- struct{}{}; <-resume }
-	sendAndStep := func(text string) {
-		loop.SendCommand(text)
-		runAndWait(loop, func() {}) // may run before the step with the command
-		runAndWait(loop, func() {}) // runs after that step, so the write has been submitted
-	}
-	execute(pause)
-	<-paused
-	for range gnetTaskLimit - 1 { // together with the pause below, as many as gnet accepts without deferring
-		execute(func() {})
-	}
-	execute(pause)
-	sendAndStep("first ")
-	resume <- struct{}{}
-	<-paused // the empty tasks have run: a task that arrives now runs before the deferred ones
-	sendAndStep("second")
-	resume <- struct{}{}
-	conn.SetReadDeadline(time.Now().Add(testTimeout))
-	got := make([]byte, len("first second"))
-	if n, err := io.ReadFull(conn, got); err != nil || string(got) != "first second" {
-		t.Errorf("read %q and error %v, want %q", got[:n], err, "first second")
+		if want := string(rune('a' + number%26)); strings.Count(string(got), want) != size {
+			t.Fatalf("write %d is not %q alone", number, want)
+		}
 	}
 }
--- a/internal/eventloop/dialer.go
+++ b/internal/eventloop/dialer.go
@@ -25,7 +25,8 @@
 // startDial starts dialing a connection and returns without waiting. It runs on the machine's goroutine.
 func (l *Loop) startDial(id statemachine.Conn, addr string) {
 	ctx, cancel := context.WithCancel(l.ctx)
-	conn := &connection{id: id, cancelDial: cancel}
+	conn := newConnection(id, l)
+	conn.cancelDial = cancel
 	l.connections[id] = conn
 	l.mu.Lock()
 	l.connectionCount++
@@ -33,7 +34,7 @@
 	l.background.Go(func() { l.dial(ctx, conn, addr) })
 }
 
-// dial opens a connection and registers it with an event loop, or reports to the machine why that failed.
+// dial opens a connection, or reports to the machine why that failed.
 func (l *Loop) dial(ctx context.Context, conn *connection, addr string) {
 	defer conn.cancelDial()
 	if l.config.RewriteDialAddress != nil {
@@ -42,21 +43,17 @@
 	dialer := net.Dialer{Timeout: l.config.DialTimeout}
 	dialed, err := dialer.DialContext(ctx, "tcp", addr)
 	if err == nil {
-		_, err = l.client.EnrollContext(dialed, conn) // EnrollContext duplicates the descriptor and closes dialed
-	}
-	if err == nil {
-		return // OnOpen reports the connection
+		if err = l.startConnection(conn, dialed.(*net.TCPConn)); err == nil {
+			return
+		}
+		_ = dialed.Close() // nothing was sent on it
 	}
 	l.releaseConnection()
-	l.enqueue(queueEntry{
-		input: statemachine.Input{
-			Kind:         statemachine.ConnClosed,
-			Conn:         conn.id,
-			Text:         dialFailureReason(err),
-			LocalFailure: isLocalResourceError(err),
-		},
-		connection: conn,
-	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn.input.closed, conn.input.closeReason, conn.input.localFailure = true, dialFailureReason(err), isLocalResourceError(err)
+	l.markReady(conn)
+	l.wakeMachine()
 }
 
 // dialFailureReason returns the reason for a dial error that is reported to the machine.
--- a/internal/eventloop/helpers_test.go
+++ b/internal/eventloop/helpers_test.go
@@ -20,9 +20,7 @@
 const testTimeout = 20 * time.Second
 
 func TestMain(m *testing.M) {
-	// gnet keeps a pool of worker goroutines for the lifetime of the process.
-	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
-		goleak.IgnoreTopFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"), goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*goWorker).run.func1"))
+	goleak.VerifyTestMain(m)
 }
 
 // observable lets a test wait for a change of a machine's state. The machine changes its state under mu in each step and
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -41,7 +42,7 @@
 }
 
 // acceptConnections accepts connections on one listener until the loop ends. After an error it backs off and tries again: a
-// shortage of descriptors, which would stop gnet's own acceptor and its whole engine, must not end it.
+// shortage of descriptors must not end it.
 func (l *Loop) acceptConnections(index int, listener net.Listener) {
 	backoff := minAcceptBackoff
 	for {
@@ -67,13 +68,15 @@
 	}
 }
 
-// register registers an accepted connection with an event loop, as soon as MaxConnections allows one more.
+// register begins to read from an accepted connection, as soon as MaxConnections allows one more.
 func (l *Loop) register(listenerIndex int, accepted net.Conn) {
 	conn := l.reserveAccepted(listenerIndex)
-	// EnrollContext duplicates the descriptor and closes accepted, whether it succeeds or not.
-	if _, err := l.client.EnrollContext(accepted, conn); err != nil {
+	if err := l.startConnection(conn, accepted.(*net.TCPConn)); err != nil {
+		_ = accepted.Close() // nothing was sent on it
 		l.releaseConnection()
-		l.recordConnectionFailure("enroll", err)
+		if !errors.Is(err, errStopping) {
+			l.recordConnectionFailure("start", err)
+		}
 	}
 }
 
@@ -82,11 +85,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.config.MaxConnections > 0 && l.connectionCount >= l.config.MaxConnections && !l.stopping {
-		l.spaceFreed.Wait()
+		l.connectionFreed.Wait()
 	}
 	l.connectionCount++
 	l.lastAccepted++
-	return &connection{id: l.lastAccepted, listener: listenerIndex}
+	conn := newConnection(l.lastAccepted, l)
+	conn.listener = listenerIndex
+	return conn
 }
 
 // releaseConnection removes from the count a connection that was closed or could not be opened.
@@ -94,5 +99,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.connectionCount--
-	l.spaceFreed.Broadcast()
+	l.connectionFreed.Broadcast()
 }
--- a/internal/eventloop/stats.go
+++ b/internal/eventloop/stats.go
@@ -12,7 +12,10 @@
 	BusyTime time.Duration
 	// SlowReadersClosed is the number of connections that were reset because their peer did not read.
 	SlowReadersClosed int
-	// ConnectionFailures is the number of connections that could not be accepted or registered with an event loop.
+	// ReadPauses is how often reading from a connection was paused, because its input waited for the machine or its peer didn't
+	// read the answers.
+	ReadPauses int
+	// ConnectionFailures is the number of connections that could not be accepted or read from.
 	ConnectionFailures int
 }
 
@@ -40,7 +43,7 @@
 	l.stats.SlowReadersClosed++
 }
 
-// recordConnectionFailure counts a connection that could not be accepted or registered, as stage says. A failure is logged
+// recordConnectionFailure counts a connection that could not be accepted or read from, as stage says. A failure is logged
 // only if the count is a power of two, so that a lasting shortage of descriptors does not flood the log.
 func (l *Loop) recordConnectionFailure(stage string, err error) {
 	l.mu.Lock()
--- a/internal/eventloop/step.go
+++ b/internal/eventloop/step.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"path/filepath"
+	"runtime"
 	"time"
 
 	"gingerfork/internal/statemachine"
@@ -21,20 +22,22 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var inputs []statemachine.Input
-	var entries []queueEntry
 	for l.ctx.Err() == nil {
-		entries = l.takeQueue(entries)
+		inputs = l.takeInputs(inputs[:0])
 		now := l.config.Clock.Now()
-		inputs = l.collectInputs(entries, inputs[:0])
-		received := len(entries) > 0
-		clear(entries) // release the data now, not only when the slots are reused
 		// The first step runs immediately, without inputs: before it WakeAt is Never.
-		if received || now >= effects.WakeAt || effects.WakeAt == statemachine.Never {
+		if len(inputs) > 0 || now >= effects.WakeAt || effects.WakeAt == statemachine.Never {
 			if ended := l.step(now, inputs, effects); ended {
 				return
 			}
+			clear(inputs) // release the data now, not only when the slots are reused
+		}
+		// On a single processor this goroutine and the reader of a busy connection would otherwise wake each other in turns, and the
+		// scheduler would leave other connections, which the network has made ready, waiting for up to a second.
+		runtime.Gosched()
+		if !l.hasWork() {
+			l.waitForWork(timer, effects.WakeAt)
 		}
-		l.waitForWork(timer, effects.WakeAt)
 	}
 }
 
@@ -69,10 +72,10 @@
 // applyEffects carries out the effects of a step. The actions of each connection are carried out in order.
 func (l *Loop) applyEffects(effects *statemachine.Effects) error {
 	for _, action := range effects.Actions {
-		if err := l.applyAction(action); err != nil {
-			return err
-		}
+		l.applyAction(action)
 	}
+	l.flushOutputs()
+	clear(effects.Actions) // release the data now, not only when the slots are reused
 	for _, entry := range effects.LogEntries {
 		l.config.Log.Log(l.ctx, slogLevel(entry.Level), entry.Message, entry.Attributes...)
 	}
