Bound the memory that incomplete frames of accepted streams take

Cause: each stream's reader keeps up to 1 MiB of an incomplete frame, and its buffer afterwards; only the number of streams was limited.

Change: the memory is counted over all accepted streams; above 16 MiB the stream with the most is rejected. Readers give large buffers back.

--- a/internal/coordinator/execute.go
+++ b/internal/coordinator/execute.go
@@ -10,7 +10,7 @@
 	for _, rejection := range result.rejections {
 		if s := m.sessions[statemachine.Conn(rejection.stream)]; s != nil {
 			m.reject(step, s, rejection.reason)
-			delete(m.sessions, s.conn)
+			m.removeSession(s)
 		}
 	}
 	for _, outgoing := range result.pushes {
--- a/internal/coordinator/machine.go
+++ b/internal/coordinator/machine.go
@@ -35,6 +35,7 @@
 	lastDialed    statemachine.Conn    // number of the last connection that was dialed
 	lastExpiryAt  statemachine.Seconds // when the sessions were last checked for timeouts
 	rejections    rejectionLog         // sessions that this coordinator rejected, by reason
+	retainedBytes int                  // of the incomplete frames of all accepted sessions
 
 	endpointSession *session        // session with the endpoint list service; nil if there is none
 	pendingRequests []proto.Message // requests to be sent once endpointSession is established
@@ -136,7 +137,7 @@
 	for _, session := range m.sessionsByAge {
 		if m.sessions[session.conn] == session && session.role == roleProxy {
 			m.reject(step, session, reasonReloaded)
-			delete(m.sessions, session.conn)
+			m.removeSession(session)
 		}
 	}
 }
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -15,8 +15,13 @@
 	reasonNoHello        = "no hello in time"
 	reasonIdle           = "silent for too long"
 	reasonReloaded       = "other settings are in force, join again"
+	reasonMemory         = "too many bytes of incomplete frames are held, send smaller frames"
 )
 
+// maxRetainedBytes limits the memory for incomplete frames of all accepted sessions together. It is far above what the proxies of any
+// fleet send at once, and has to be, because a sound proxy may be the one with the most.
+const maxRetainedBytes = 16 << 20
+
 // sessionRole is the role of the other side of a session.
 type sessionRole uint8
 
@@ -34,6 +39,7 @@
 	role        sessionRole
 	name        string // name or address of the other side, for the log; empty for probes and before the hello
 	reader      proto.Reader
+	retained    int // bytes that reader holds for an incomplete frame
 	openedAt    statemachine.Seconds
 	lastSeen    statemachine.Seconds // when data was last received; at first equal to openedAt
 	established bool                 // the handshake is complete; for roleEndpointList and rolePeer only
@@ -72,6 +78,7 @@
 	for m.sessions[session.conn] == session {
 		message, err := session.reader.Next()
 		if message == nil && err == nil {
+			m.limitRetained(step, session)
 			return
 		}
 		if err == nil {
@@ -85,6 +92,27 @@
 	}
 }
 
+// limitRetained accounts for the memory that a session's incomplete frame takes. Above maxRetainedBytes it rejects the accepted session
+// that holds the most.
+func (m *Machine) limitRetained(step *stepContext, changed *session) {
+	if changed.conn&statemachine.DialedBit != 0 {
+		return // the parties that this coordinator dials are in its settings
+	}
+	m.retainedBytes += changed.reader.Retained() - changed.retained
+	changed.retained = changed.reader.Retained()
+	if m.retainedBytes <= maxRetainedBytes {
+		return
+	}
+	largest := changed
+	for _, candidate := range m.sessions {
+		if candidate.retained > largest.retained {
+			largest = candidate
+		}
+	}
+	m.reject(step, largest, reasonMemory)
+	m.closeSession(step, largest, reasonMemory)
+}
+
 // reject tells the other side the reason and closes the connection. It does not remove the session.
 func (m *Machine) reject(step *stepContext, session *session, reason string) {
 	step.send(session, proto.Reject{Reason: reason})
@@ -100,7 +128,7 @@
 	if m.sessions[session.conn] != session {
 		return
 	}
-	delete(m.sessions, session.conn)
+	m.removeSession(session)
 	switch session.role {
 	case roleProxy:
 		step.effects.Log(logInfo, "proxy left", "proxy", session.name, "reason", reason)
@@ -119,6 +147,13 @@
 	}
 }
 
+// removeSession forgets a session and the memory that its incomplete frame takes.
+func (m *Machine) removeSession(session *session) {
+	delete(m.sessions, session.conn)
+	m.retainedBytes -= session.retained
+	session.retained = 0
+}
+
 // expiryInterval returns the time between two checks of the sessions for timeouts.
 func (m *Machine) expiryInterval() statemachine.Seconds {
 	shortest := min(m.bootstrap.HandshakeTimeout, m.bootstrap.ProxyIdleTimeout, m.bootstrap.EndpointListIdleTimeout,
--- a/internal/coordinator/sessions_test.go
+++ b/internal/coordinator/sessions_test.go
@@ -105,3 +105,43 @@
 		t.Errorf("%d reasons are held, want at most %d", len(log), maxRejectionReasons+1)
 	}
 }
+
+// Streams that stop within large frames must not take memory without bound: above a total those that hold the most are rejected, and a
+// sound proxy, which holds little, stays. Guards against the failure of issue 45 (a): 900 such streams took 712 MB.
+func TestIncompleteFramesAreBounded(t *testing.T) {
+	harness := newHarness(t, nil, nil)
+	harness.serveEndpoints(4)
+	harness.join(1, "good")
+	report := frames(proto.Reports{Span: 1})
+	harness.step(0, statemachine.Input{Kind: statemachine.ConnData, Conn: 1, Data: report[:3]})
+	unfinished := make([]byte, 600<<10)
+	unfinished[1] = proto.MaxFrame >> 16 // the length of a frame that does not end
+	const streams = 150
+	for number := range streams {
+		conn := statemachine.Conn(10 + number)
+		harness.join(conn, fmt.Sprint("p", number))
+		for sent := 0; sent < len(unfinished); sent += 1 << 14 {
+			harness.step(0, statemachine.Input{Kind: statemachine.ConnData, Conn: conn, Data: unfinished[sent:min(len(unfinished), sent+1<<14)]})
+		}
+	}
+	retained, counted := 0, harness.machine.retainedBytes
+	for _, session := range harness.machine.sessions {
+		retained += session.reader.Retained()
+	}
+	if retained > maxRetainedBytes || retained != counted {
+		t.Errorf("%d bytes are held, %d by the machine's count; at most %d wanted", retained, counted, maxRetainedBytes)
+	}
+	if joined := len(harness.machine.controller.streams); joined < 10 || joined == streams+1 {
+		t.Errorf("%d streams are left of %d, some but not all wanted", joined, streams+1)
+	}
+	harness.step(0, statemachine.Input{Kind: statemachine.ConnData, Conn: 1, Data: report[3:]})
+	if harness.closed[1] {
+		t.Error("the stream of the sound proxy was closed")
+	}
+	for number := range streams {
+		harness.step(0, closed(statemachine.Conn(10+number)))
+	}
+	if left := harness.machine.retainedBytes; left != 0 {
+		t.Errorf("%d bytes are counted after all streams have ended", left)
+	}
+}
--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -26,6 +26,7 @@
 	// compactionThreshold is how many bytes a Reader must have consumed, in addition to more than half of its buffer, before
 	// Feed moves the unread bytes to the start of the buffer.
 	compactionThreshold = 4096
+	maxIdleBuffer       = 16 << 10 // bytes of a buffer that a Reader keeps for the next frame
 )
 
 // MessageType identifies the type of the message in a frame.
@@ -61,7 +62,9 @@
 // Feed appends received bytes to the buffer. It keeps no reference to them.
 func (r *Reader) Feed(received []byte) {
 	if r.consumed == len(r.buffer) {
-		r.buffer, r.consumed = r.buffer[:0], 0
+		if r.buffer, r.consumed = r.buffer[:0], 0; cap(r.buffer) > maxIdleBuffer {
+			r.buffer = nil
+		}
 	} else if r.consumed > compactionThreshold && r.consumed > len(r.buffer)/2 {
 		r.buffer, r.consumed = append(r.buffer[:0], r.buffer[r.consumed:]...), 0
 	}
@@ -99,3 +102,11 @@
 // Buffered returns the number of bytes that were fed but not yet decoded. Once Next has returned nil without an error, these
 // are the bytes of an incomplete frame.
 func (r *Reader) Buffered() int { return len(r.buffer) - r.consumed }
+
+// Retained returns the number of bytes of memory that the Reader holds for an incomplete frame.
+func (r *Reader) Retained() int {
+	if r.Buffered() == 0 {
+		return 0
+	}
+	return cap(r.buffer)
+}
