Bound the names that serve keeps, and reject joins on connections older than the last stream

Cause: no limit on the number of names, a list entry for each leave, and no memory of a proxy's last stream once it has ended.

Change: 10,000 proxies that left keep their numbers, each listed once; both fronts remember the connection of a proxy's last stream.

Evidence: TestDepartedProxiesAreBounded, TestLateHelloOnOlderConnectionIsRejected and the new part of TestLateJoinOnOlderConnectionIsRejected failed without the change.

--- a/internal/coordinator/proxies.go
+++ b/internal/coordinator/proxies.go
@@ -11,6 +11,10 @@
 // proxy for a shorter time, so a number is not reused before the module has forgotten its former proxy.
 const departedRetention = 2 * choice.BackendRetention
 
+// maxDepartedProxies limits the proxies that left and still have their numbers. Above it the one that left first gives up its
+// number early.
+const maxDepartedProxies = 10_000
+
 // reasonSuperseded is the reason, as sent on the wire, for rejecting the older of two streams of one proxy.
 const reasonSuperseded = "this proxy joined again on a newer stream"
 
@@ -29,22 +33,29 @@
 
 // proxyRecord is a proxy that is joined, or that left and that the decision module may not have forgotten yet.
 type proxyRecord struct {
-	name   string
-	number choice.ProxyID
-	stream *proxyStream   // nil if the proxy is not joined
-	leftAt choice.Seconds // when the proxy last left
+	name       string
+	number     choice.ProxyID
+	stream     *proxyStream   // nil if the proxy is not joined
+	lastStream streamID       // its last stream, which may have ended
+	leftAt     choice.Seconds // when the proxy last left
+	departed   bool           // it is in controller.departed; it may have joined again since
+	departedAt choice.Seconds // the value of leftAt when it was last added to controller.departed
 }
 
-// join adds a proxy. If the proxy is joined already, its older stream is rejected.
+// join adds a proxy. If the proxy is joined already, its older stream is rejected: either its connection broke and this was not
+// detected yet, or another process uses the same name. A hello that arrives late, on a connection that was opened before the
+// proxy's last stream, is rejected as well, even if that stream has ended.
 func (c *controller) join(now choice.Seconds, joined proxyJoined) {
 	record := c.proxies[joined.hello.Name]
+	if record != nil && joined.stream < record.lastStream {
+		c.result.rejections = append(c.result.rejections, rejection{joined.stream, reasonSuperseded})
+		return
+	}
 	if record == nil {
 		record = &proxyRecord{name: joined.hello.Name, number: c.allocateNumber()}
 		c.proxies[record.name] = record
 	}
 	if record.stream != nil {
-		// Either the older connection broke and this was not detected yet, or another process uses the same name. Only one
-		// of the streams can be served.
 		c.result.rejections = append(c.result.rejections, rejection{record.stream.id, reasonSuperseded})
 		c.leave(now, record.stream)
 	}
@@ -55,7 +66,7 @@
 		zone:       choice.Zone(joined.hello.Zone),
 		subscriber: c.distributor.Join(record.number),
 	}
-	record.stream = stream
+	record.stream, record.lastStream = stream, stream.id
 	c.streams[stream.id] = stream
 	c.streamsByNumber[stream.proxy] = stream
 	c.stats.Joins++
@@ -88,24 +99,44 @@
 	record := c.proxies[stream.proxyName]
 	record.stream = nil
 	record.leftAt = now
-	c.departed = append(c.departed, record)
+	if !record.departed {
+		c.addDeparted(record)
+	}
 	c.pendingEvents = append(c.pendingEvents, choice.ProxyLeft{Proxy: stream.proxy})
 }
 
-// forgetDeparted removes proxies that left so long ago that the decision module has forgotten them, and frees their numbers.
+// addDeparted adds a proxy to those that left.
+func (c *controller) addDeparted(record *proxyRecord) {
+	record.departed, record.departedAt = true, record.leftAt
+	c.departed = append(c.departed, record)
+}
+
+// forgetDeparted removes proxies that left so long ago that the decision module has forgotten them, and frees their numbers. Above
+// maxDepartedProxies it removes those that left first.
 func (c *controller) forgetDeparted(now choice.Seconds) {
 	for len(c.departed) > 0 {
-		record := c.departed[0]
-		if now < record.leftAt+departedRetention {
+		record, tooMany := c.departed[0], len(c.departed) > maxDepartedProxies
+		if !tooMany && now < record.departedAt+departedRetention {
 			return
 		}
+		c.departed[0] = nil
 		c.departed = c.departed[1:]
-		// The proxy may have joined again since, and if it then left once more, it is in the list a second time.
-		if record.stream == nil && c.proxies[record.name] == record {
-			delete(c.proxies, record.name)
-			c.checkpoint.RemoveProxy(record.name)
-			c.reports.forgetProxy(record.number)
-			c.freeNumbers = append(c.freeNumbers, record.number)
+		record.departed = false
+		switch {
+		case record.stream != nil: // it joined again, and is added when it leaves
+		case tooMany || now >= record.leftAt+departedRetention:
+			c.forgetProxy(record)
+		default: // it joined again and left once more since
+			c.addDeparted(record)
 		}
 	}
 }
+
+// forgetProxy removes a proxy that left and frees its number. If the decision module hasn't forgotten it yet, another proxy that gets
+// the number continues with its usage and is sent whole tables, as any proxy that joins.
+func (c *controller) forgetProxy(record *proxyRecord) {
+	delete(c.proxies, record.name)
+	c.checkpoint.RemoveProxy(record.name)
+	c.reports.forgetProxy(record.number)
+	c.freeNumbers = append(c.freeNumbers, record.number)
+}
--- a/internal/coordinator/proxies_test.go
+++ b/internal/coordinator/proxies_test.go
@@ -44,3 +44,54 @@
 			numbers, tables, names)
 	}
 }
+
+// Proxies that join under ever new names, or again and again under one, must not take memory without bound. Guards against the failure
+// of issue 45 (b): each name was kept for 20 minutes, each leave too.
+func TestDepartedProxiesAreBounded(t *testing.T) {
+	for name, proxyName := range map[string]func(number int) string{
+		"new names": func(number int) string { return fmt.Sprint("f", number) },
+		"one name":  func(int) string { return "f" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, nil, nil)
+			const joins = maxDepartedProxies + 200
+			c := harness.machine.controller
+			for number := range joins {
+				stream := streamID(number + 1)
+				mustHandle(t, c, harness.now, proxyJoined{stream, hello(proxyName(number))}, streamClosed{stream})
+			}
+			if len(c.proxies) > maxDepartedProxies || len(c.departed) > maxDepartedProxies || len(c.streamsByNumber) > maxDepartedProxies+1 {
+				t.Errorf("%d names, %d departed proxies and %d numbers are kept, at most %d wanted",
+					len(c.proxies), len(c.departed), len(c.streamsByNumber), maxDepartedProxies)
+			}
+			if name == "one name" && len(c.departed) != 1 {
+				t.Errorf("one proxy is kept %d times", len(c.departed))
+			}
+		})
+	}
+}
+
+// A hello that arrives late, on a connection that was opened before the proxy's last stream, must not replace that stream, nor join the
+// proxy again after it has left: the proxy no longer uses the older connection. Guards against the failure of issue 45 (c).
+func TestLateHelloOnOlderConnectionIsRejected(t *testing.T) {
+	for _, newerLeft := range []bool{false, true} {
+		t.Run(fmt.Sprintf("newer stream has left: %v", newerLeft), func(t *testing.T) {
+			harness := newHarness(t, nil, nil)
+			harness.serveEndpoints(4)
+			harness.step(0.01, opened(1), opened(2), data(2, hello("f0")))
+			harness.advance(0.2)
+			if newerLeft {
+				harness.step(0.1, closed(2))
+			}
+			harness.step(0.1, data(1, hello("f0")))
+			harness.advance(0.2)
+			mustContain(t, harness.rejectionReason(1), "newer stream")
+			if harness.closed[2] {
+				t.Error("the newer stream was closed")
+			}
+			if joins := harness.machine.Stats().Joins; joins != 1 {
+				t.Errorf("%d joins, 1 wanted", joins)
+			}
+		})
+	}
+}
--- a/internal/platform/machine.go
+++ b/internal/platform/machine.go
@@ -36,11 +36,12 @@
 	discovery   discoveryClient
 	probes      prober
 
-	sessions    map[statemachine.Conn]*session // of all connections
-	handshaking []*session                     // oldest session first; may contain sessions that are no longer in their handshake
-	streams     []*stream                      // by proxy number; nil for a proxy that has no stream
-	collectors  []*session                     // sessions of joined collectors; may contain closed ones until the next periodic check
-	lastDialed  statemachine.Conn              // the connection number given to the last dialed connection
+	sessions        map[statemachine.Conn]*session // of all connections
+	handshaking     []*session                     // oldest session first; may contain sessions that are no longer in their handshake
+	streams         []*stream                      // by proxy number; nil for a proxy that has no stream
+	collectors      []*session                     // sessions of joined collectors; may contain closed ones until the next periodic check
+	lastStreamConns []statemachine.Conn            // by proxy number: the connection of its last stream; 0 if it never had one
+	lastDialed      statemachine.Conn              // the connection number given to the last dialed connection
 
 	// Derived from the settings.
 	methods         []string             // names, by method number
@@ -92,7 +93,8 @@
 		m.zones[zone] = true
 	}
 	m.stepInterval = settings.Tick.Or(0)
-	m.streams = make([]*stream, min(max(int(settings.ProxyCount.Or(0)), 0), maxProxies))
+	proxyCount := min(max(int(settings.ProxyCount.Or(0)), 0), maxProxies)
+	m.streams, m.lastStreamConns = make([]*stream, proxyCount), make([]statemachine.Conn, proxyCount)
 }
 
 const (
--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -36,11 +36,12 @@
 	if message.Proxy >= len(m.streams) || !m.zones[message.Zone] {
 		return invalidMessage("joining", "proxy %d or zone %.32q does not exist", message.Proxy, message.Zone)
 	}
+	if peer.conn < m.lastStreamConns[message.Proxy] {
+		// This connection was opened before that of the proxy's last stream, which may have ended, and its message is late: the
+		// proxy no longer uses it.
+		return invalidMessage("joining", "proxy %d is joined by a later stream", message.Proxy)
+	}
 	if former := m.streams[message.Proxy]; former != nil {
-		if peer.conn < former.session.conn {
-			// This connection was opened before that of the joined stream, and its message is late: the proxy no longer uses it.
-			return invalidMessage("joining", "proxy %d is joined by a later stream", message.Proxy)
-		}
 		// The former connection is dead, but its close has not been reported yet. When it is, it must have no effect.
 		m.stats.TakenOver++
 		delete(m.sessions, former.session.conn)
@@ -53,7 +54,7 @@
 	}
 	joined.subscriber = m.distributor.Join(joined.proxy)
 	peer.role, peer.stream, peer.decoder.MaxBytes = roleProxy, joined, maxMessageBytes
-	m.streams[message.Proxy] = joined
+	m.streams[message.Proxy], m.lastStreamConns[message.Proxy] = joined, peer.conn
 	m.stats.Joins++
 	m.events = append(m.events, choice.ProxyJoined{Proxy: joined.proxy, Zone: joined.zone, Rate: message.Rate, Fresh: message.Fresh})
 	return nil
--- a/internal/platform/streams_test.go
+++ b/internal/platform/streams_test.go
@@ -28,6 +28,18 @@
 			t.Errorf("%d joins, want 1; the proxy's stream is %v", m.stats.Joins, m.streams[2])
 		}
 	})
+	// The same after the newer connection has ended.
+	oldest := test.dial()
+	fmt.Fprint(oldest, "attach proxy=3 zone=a wei")
+	newest := test.dial()
+	fmt.Fprint(newest, "attach proxy=3 zone=a weight=5 fresh=1\r\n")
+	newest.readUntil("whole=1")
+	newest.reset()
+	test.eventually("the newer stream has ended", func() bool { return test.machine.streams[3] == nil })
+	fmt.Fprint(oldest, "ght=5 fresh=1\r\n")
+	if got, _ := io.ReadAll(oldest); !strings.HasPrefix(string(got), "reject") {
+		t.Errorf("after the newer connection has ended the older one received %q, want a rejection", got)
+	}
 	// A join message on a newer connection replaces the stream.
 	third := test.dial()
 	fmt.Fprint(third, "attach proxy=2 zone=a weight=5 fresh=0\r\n")
