--- a/choice/cold_zone_test.go
+++ b/choice/cold_zone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -395,9 +396,10 @@
 }
 
 // FuzzColdZone checks that in random fleets no cold backend of a returning zone is overloaded, that the zone is served once it is
-// warm, and that no proxy is sent too many messages, with or without a restart of the coordinator.
+// warm, and that no proxy is sent too many messages, with or without a restart of the coordinator, a warm backend beside the cold ones and
+// a wrong figure in a report.
 func FuzzColdZone(f *testing.F) {
-	for seed := range uint64(80) {
+	for seed := range uint64(200) {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) {
@@ -410,9 +412,17 @@
 	t.Helper()
 	test := newColdZoneTest(t, randomColdZone(random))
 	test.startWarm()
+	if random.IntN(3) == 0 {
+		test.reportWrongFigure(random)
+	}
+	if test.survivor != 0 {
+		health := []survivorHealth{survivorHealthy, survivorUnreachable, survivorFailing}[random.IntN(3)]
+		test.extraReports = func() []Event { return test.survivorEvents(health) }
+		test.run(6)
+	}
 	test.loseZone()
 	returnedAt := test.fleet.now
-	if restarts := random.IntN(2) == 0; restarts {
+	if restarts := random.IntN(2) == 0; restarts && test.survivor == 0 {
 		test.restartPlanner(test.fleet.now)
 		test.start(BackendGone)
 	}
@@ -439,6 +449,15 @@
 	}
 }
 
+// reportWrongFigure has one random report with a wrong figure arrive.
+func (c *coldZoneTest) reportWrongFigure(random *rand.Rand) {
+	c.t.Helper()
+	figures := wrongFigures(c)
+	names := slices.Sorted(maps.Keys(figures))
+	c.fleet.step(0.01, figures[names[random.IntN(len(names))]])
+	c.run(Seconds(random.IntN(20)))
+}
+
 // randomColdZone draws a scenario, with proxies of very different usage.
 func randomColdZone(random *rand.Rand) coldZoneScenario {
 	scenario := coldZoneScenario{
@@ -452,6 +471,9 @@
 	}
 	usage[random.IntN(len(usage))] *= 6
 	scenario.allProxies = len(usage) * (1 + random.IntN(2))
+	if random.IntN(3) == 0 {
+		scenario.survivor = backendID(1000)
+	}
 	scenario.proxyRates = scenario.spreadLoad(0.4+0.35*random.Float64(), usage)
 	return scenario
 }
