Refuse lines of more than 64 fields before they are decoded

Change: a line is split into 66 words at most, and one with more than 64 fields is dropped, or rejected in a handshake, as any line that is not sound.

--- a/internal/platform/wire/decoder.go
+++ b/internal/platform/wire/decoder.go
@@ -7,8 +7,10 @@
 	"strings"
 )
 
-// maxKindBytes is more than the length of any message kind's name.
-const maxKindBytes = 32
+const (
+	maxKindBytes = 32 // more than the length of any message kind's name
+	maxFields    = 64 // fields of a message, far more than any kind has; a line may be made of thousands, which are costly to decode
+)
 
 // Decoder splits the bytes received on a connection into messages. They may be fed to it in pieces of any size.
 type Decoder struct {
@@ -98,7 +100,7 @@
 	if err := checkPrintable(data); err != nil {
 		return nil, err
 	}
-	words := strings.Fields(string(data))
+	words := splitWords(data)
 	if len(words) == 0 {
 		return nil, fmt.Errorf("%w: an empty line", ErrMalformed)
 	}
@@ -106,6 +108,9 @@
 	if !slices.Contains(receivedKinds[:], kind) {
 		return nil, fmt.Errorf("%w: the kind %.32q", ErrMalformed, kind)
 	}
+	if len(words)-1 > maxFields {
+		return nil, &MessageError{Kind: kind, Reason: fmt.Sprintf("more than %d fields", maxFields)}
+	}
 	parsed := &fields{kind: kind, values: make([]field, 0, len(words)-1)}
 	for _, word := range words[1:] {
 		name, value, ok := strings.Cut(word, "=")
@@ -120,3 +125,18 @@
 	}
 	return message, nil
 }
+
+// splitWords splits a line into words, at most one more than a message may have: the last then contains the rest of the line.
+func splitWords(line []byte) []string {
+	var words []string
+	rest := strings.TrimLeft(string(line), " ")
+	for rest != "" && len(words) <= maxFields {
+		word, after, _ := strings.Cut(rest, " ")
+		words = append(words, word)
+		rest = strings.TrimLeft(after, " ")
+	}
+	if rest != "" {
+		words = append(words, rest)
+	}
+	return words
+}
--- a/internal/platform/wire/decoder_test.go
+++ b/internal/platform/wire/decoder_test.go
@@ -135,3 +135,23 @@
 	}
 	return messages, invalid
 }
+
+// A line of very many short fields is refused before the fields are decoded, and the next message is read. Guards against the cost
+// of issue 45 (a, b): heads and lines of very many short fields.
+func TestTooManyFieldsAreRefused(t *testing.T) {
+	decoder := Decoder{}
+	decoder.Feed([]byte("hb " + strings.Repeat("a=1 ", maxFields) + "\r\nhb  " + strings.Repeat("a=1  ", maxFields+1) + "\r\nhb\r\n"))
+	if message, err := decoder.Next(); message != (Heartbeat{}) || err != nil {
+		t.Errorf("%d fields give %v and error %v, want a heartbeat", maxFields, message, err)
+	}
+	var invalid *MessageError
+	if message, err := decoder.Next(); !errors.As(err, &invalid) || invalid.Kind != "hb" {
+		t.Errorf("%d fields give %v and error %v, want an error about hb", maxFields+1, message, err)
+	}
+	if message, err := decoder.Next(); message != (Heartbeat{}) || err != nil {
+		t.Errorf("the next message is %v with error %v, want a heartbeat", message, err)
+	}
+	if words := splitWords([]byte("hb " + strings.Repeat("a=1 ", 4000))); len(words) > maxFields+2 {
+		t.Errorf("a line of 4,000 fields is split into %d words", len(words))
+	}
+}
