--- a/internal/eventloop/inputqueue.go
+++ b/internal/eventloop/inputqueue.go
@@ -12,6 +12,7 @@
 // the sender down.
 const (
 	maxStepBytes        = 128 << 10 // bytes of received data that one step handles
+	maxStepTurns        = 256       // connections of which one step handles something
 	minTurnBytes        = 2 << 10   // least part of one connection, and what its turn may exceed maxStepBytes by
 	minConnectionBuffer = 4 << 10   // bytes that each connection may have waiting, however many connections there are
 	maxConnectionBuffer = 64 << 10  // bytes that one connection may have waiting
@@ -153,7 +154,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	budget, count := maxStepBytes, len(l.ready)
+	budget, count := maxStepBytes, min(len(l.ready), maxStepTurns)
 	turn := max(minTurnBytes, maxStepBytes/max(count, 1))
 	taken := 0
 	for ; taken < count && budget > 0; taken++ {
