Limits on reports stand in admission.go; the first counts of all have nothing to be compared with

Change: plausibleReport and addProvenSuccesses move; plausibleCount passes any count while no requests are known. The delay that nobody reads leaves the message to the channel's actor.

--- a/choice/admission.go
+++ b/choice/admission.go
@@ -36,15 +36,31 @@
 // of its kind. A count above that is wrong, or the usage has grown by a multiple within a report period; the limit then follows it
 // within a few reports. What is left of a wrong count acts like one report of a burst.
 func (a *admission) plausibleCount(count int, lastReportAt Seconds) int {
-	planner := a.planner
+	planner, known := a.planner, max(a.knownRate, sum(a.arrivalRates))
+	if known == 0 {
+		return max(0, count) // there is nothing yet to compare it with
+	}
 	covered := min(planner.now-lastReportAt, maxPlausibleReportPeriod) + 2*planner.settings.ReportPeriod // reports may be late
-	limit := int(plausibleCountFloor + plausibleRateFactor*max(a.knownRate, sum(a.arrivalRates))*covered)
+	limit := int(plausibleCountFloor + plausibleRateFactor*known*covered)
 	if count > limit {
 		a.logImplausibleCount(count, limit)
 	}
 	return max(0, min(count, limit))
 }
 
+// plausibleReport limits the figures of a report. Its share of failures stays the same, and no success takes longer than a client
+// waits.
+func (a *admission) plausibleReport(report AttemptReport, lastReportAt Seconds) AttemptReport {
+	attempts := a.plausibleCount(report.Attempts, lastReportAt)
+	if attempts != report.Attempts {
+		share := float64(report.Failures) / float64(report.Attempts)
+		report.Failures = int(math.Round(share * float64(attempts)))
+	}
+	report.Attempts, report.Failures = attempts, max(0, min(report.Failures, attempts))
+	report.MeanLatency = min(report.MeanLatency, a.longestDeadline)
+	return report
+}
+
 // normalRetry returns the retry policy of a method outside of overloads. Retries after timeouts add to the overload that caused
 // the timeouts. So a retry needs proof that the first attempt was not processed, or a token that all backends surely still
 // remember at the second attempt.
@@ -108,6 +124,29 @@
 	a.peakSuccessRatePerWeight = max(a.windowPeak, a.formerWindowPeak)
 }
 
+// addProvenSuccesses sums up the successes of the backends that openCapacity counts, each limited to maxMedianSuccessFactor times the
+// median of those that were reported on within baselineWindow, in proportion to their weights.
+func (a *admission) addProvenSuccesses(load *fleetLoad) {
+	planner := a.planner
+	var ratesPerWeight []float64
+	for i, successRate := range load.successRates {
+		recent := slices.ContainsFunc(planner.lastReportAt[i], func(at Seconds) bool { return at > planner.now-baselineWindow })
+		if recent && successRate > 0 && planner.countsAsCapacity(i) {
+			ratesPerWeight = append(ratesPerWeight, successRate/planner.weight[i]/planner.warmupFactor[i])
+		}
+	}
+	if len(ratesPerWeight) == 0 {
+		return
+	}
+	slices.Sort(ratesPerWeight)
+	limit := maxMedianSuccessFactor * ratesPerWeight[(len(ratesPerWeight)-1)/2]
+	for i, successRate := range load.successRates {
+		if planner.countsAsCapacity(i) {
+			load.provenSuccessRate += min(successRate, limit*planner.weight[i]*planner.warmupFactor[i])
+		}
+	}
+}
+
 // measureBackend adds the reports on one backend to the load of the fleet. Whether the backend is overloaded is judged from the
 // zone where it does best, because a network failure between zones is no overload. A backend that rejects requests in an
 // overload has a full queue, so the requests that succeed are slow. Failures while the fleet's latency is low have another
--- a/choice/backends.go
+++ b/choice/backends.go
@@ -224,7 +224,7 @@
 // are weighted by oldLatencyWeight.
 func (planner *Planner) recordAttempts(i int, report AttemptReport) {
 	zone := planner.zoneOf(report.Zone)
-	report = planner.plausibleReport(report, planner.lastReportAt[i][zone])
+	report = planner.admission.plausibleReport(report, planner.lastReportAt[i][zone])
 	decay := math.Exp(-(planner.now - planner.lastReportAt[i][zone]) / healthWindow)
 	planner.lastReportAt[i][zone], planner.newestReportAt = planner.now, planner.now
 	successes := float64(report.Attempts - report.Failures)
@@ -238,19 +238,6 @@
 	planner.failures[i][zone] = planner.failures[i][zone]*decay + float64(report.Failures)
 }
 
-// plausibleReport limits the figures of a report. Its share of failures stays the same, and no success takes longer than a client
-// waits.
-func (planner *Planner) plausibleReport(report AttemptReport, lastReportAt Seconds) AttemptReport {
-	attempts := planner.admission.plausibleCount(report.Attempts, lastReportAt)
-	if attempts != report.Attempts {
-		share := float64(report.Failures) / float64(report.Attempts)
-		report.Failures = int(math.Round(share * float64(attempts)))
-	}
-	report.Attempts, report.Failures = attempts, max(0, min(report.Failures, attempts))
-	report.MeanLatency = min(report.MeanLatency, planner.admission.longestDeadline)
-	return report
-}
-
 // failureShares returns the failure shares of the backends as seen from a zone, in ascending order. It includes backends with
 // at least minCount attempts and a report after the given time, and returns a single 0 if there are none.
 func (planner *Planner) failureShares(zone int, minCount float64, since Seconds) []float64 {
--- a/choice/fleetload.go
+++ b/choice/fleetload.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 )
 
 // admission is the actor that detects overloads of the fleet and sets how many requests are admitted. This file holds its state
@@ -90,29 +89,6 @@
 	return load
 }
 
-// addProvenSuccesses sums up the successes of the backends that openCapacity counts, each limited to maxMedianSuccessFactor times the
-// median of those that were reported on within baselineWindow, in proportion to their weights.
-func (a *admission) addProvenSuccesses(load *fleetLoad) {
-	planner := a.planner
-	var ratesPerWeight []float64
-	for i, successRate := range load.successRates {
-		recent := slices.ContainsFunc(planner.lastReportAt[i], func(at Seconds) bool { return at > planner.now-baselineWindow })
-		if recent && successRate > 0 && planner.countsAsCapacity(i) {
-			ratesPerWeight = append(ratesPerWeight, successRate/planner.weight[i]/planner.warmupFactor[i])
-		}
-	}
-	if len(ratesPerWeight) == 0 {
-		return
-	}
-	slices.Sort(ratesPerWeight)
-	limit := maxMedianSuccessFactor * ratesPerWeight[(len(ratesPerWeight)-1)/2]
-	for i, successRate := range load.successRates {
-		if planner.countsAsCapacity(i) {
-			load.provenSuccessRate += min(successRate, limit*planner.weight[i]*planner.warmupFactor[i])
-		}
-	}
-}
-
 // updateKnownRate sums up the usage of all known proxies, as of their last reports or their joins.
 func (a *admission) updateKnownRate() {
 	a.knownRate = 0
--- a/choice/messages.go
+++ b/choice/messages.go
@@ -26,10 +26,7 @@
 		shares []float64
 		retry  []RetryPolicy
 	}
-	acknowledged struct { // to the channel: a proxy acknowledged the messages of a step
-		nonce Nonce
-		delay Seconds
-	}
+	acknowledged struct{ nonce Nonce } // to the channel: a proxy acknowledged the messages of a step
 )
 
 // dispatch sends an event to the actors that it concerns. Reports on unknown backends are dropped.
@@ -42,7 +39,7 @@
 	case ProxyLeft:
 		planner.send(planner.proxy(event.Proxy), event)
 	case PushAcknowledged:
-		planner.send(planner.channel, acknowledged{event.Nonce, event.Delay})
+		planner.send(planner.channel, acknowledged{event.Nonce})
 		planner.send(planner.proxy(event.Proxy), event)
 	case UsageReport:
 		proxy := planner.proxy(event.Proxy)
