Bound the memory of incomplete messages at a coordinator on the platform

Cause: each connection may hold 16 KiB of an incomplete message, and nothing limited the sum.

Change: as with serve, the memory is counted, here up to a sixteenth of the limit; above it the connection that holds the most is closed.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -181,7 +181,9 @@
 	defaultMaxResponseBytes = 8 << 20
 	minResponseBytes        = 1 << 18 // lower bound of Bootstrap.MaxResponseBytes, whatever the memory limit
 	memoryPerResponseByte   = 16      // the longest response of discovery is 1/16 of the memory limit
-	handshakeTimeout        = 1       // seconds
+	defaultMaxRetainedBytes = 16 << 20
+	memoryPerRetainedByte   = 16 // incomplete messages take 1/16 of the memory limit
+	handshakeTimeout        = 1  // seconds
 )
 
 // Bootstrap returns what a Machine is started with at the time now, with its limits derived from the resource limits.
@@ -190,12 +192,14 @@
 		Name: c.Name, Discovery: c.Discovery, CachedList: c.CachedList,
 		Module:         choice.Config{Seed: c.Seed, Now: now, Settings: choice.DecodeSettings(c.Settings)},
 		MaxConnections: math.MaxInt, MaxProbes: defaultMaxProbes, MaxResponseBytes: defaultMaxResponseBytes, HandshakeTimeout: handshakeTimeout,
+		MaxRetainedBytes: defaultMaxRetainedBytes,
 	}
 	if c.Sockets > 0 {
 		boot.MaxConnections = c.Sockets - reservedFileDescriptors - closingConnectionHeadroom
 		boot.MaxProbes = max(1, min(boot.MaxProbes, boot.MaxConnections/connectionsPerProbe))
 	}
 	if c.MemoryBytes > 0 {
+		boot.MaxRetainedBytes = int(min(int64(boot.MaxRetainedBytes), c.MemoryBytes/memoryPerRetainedByte))
 		boot.MaxResponseBytes = int(max(minResponseBytes, min(int64(boot.MaxResponseBytes), c.MemoryBytes/memoryPerResponseByte)))
 	}
 	return boot
--- a/internal/platform/idle.go
+++ b/internal/platform/idle.go
@@ -56,7 +56,7 @@
 		m.stats.IdleClosed++
 		m.logThrottled(out, problemIdleStream, levelWarning, "idle stream with missing acknowledgements closed",
 			"proxy", int(candidate.proxy), "silent_s", now-candidate.lastReceived)
-		delete(m.sessions, candidate.session.conn)
+		m.removeSession(candidate.session)
 		out.Abort(candidate.session.conn)
 		m.leave(candidate)
 	}
@@ -81,7 +81,7 @@
 		m.stats.IdleClosed++
 		m.logThrottled(out, problemReplacedCollector, levelWarning, "idle collector connection closed: replaced by a later connection",
 			"zone", collector.zone, "silent_s", now-collector.lastReceived)
-		delete(m.sessions, collector.conn)
+		m.removeSession(collector)
 		out.Abort(collector.conn)
 	}
 }
--- a/internal/platform/machine.go
+++ b/internal/platform/machine.go
@@ -24,6 +24,7 @@
 	MaxConnections   int
 	MaxProbes        int                  // limit on the number of probes in flight
 	MaxResponseBytes int                  // limit on the size of a response of discovery, in bytes
+	MaxRetainedBytes int                  // limit on the memory for incomplete messages of all accepted connections together, in bytes; 0: none
 	HandshakeTimeout statemachine.Seconds // from opening a connection until its peer must have joined
 }
 
@@ -36,6 +37,7 @@
 	discovery   discoveryClient
 	probes      prober
 
+	retainedBytes   int                            // of the incomplete messages of all accepted connections
 	sessions        map[statemachine.Conn]*session // of all connections
 	handshaking     []*session                     // oldest session first; may contain sessions that are no longer in their handshake
 	streams         []*stream                      // by proxy number; nil for a proxy that has no stream
@@ -191,7 +193,7 @@
 }
 
 func (m *Machine) connectionClosed(now statemachine.Seconds, peer *session, input statemachine.Input, out *statemachine.Effects) {
-	delete(m.sessions, peer.conn)
+	m.removeSession(peer)
 	switch peer.role {
 	case roleDiscovery:
 		m.discovery.connectionClosed(now, input.Text, out)
--- a/internal/platform/recovery.go
+++ b/internal/platform/recovery.go
@@ -93,7 +93,7 @@
 	if peer == nil {
 		return
 	}
-	delete(m.sessions, conn)
+	m.removeSession(peer)
 	out.Abort(conn)
 	switch peer.role {
 	case roleProxy:
--- a/internal/platform/sessions.go
+++ b/internal/platform/sessions.go
@@ -25,6 +25,7 @@
 	role     role
 	openedAt statemachine.Seconds
 	decoder  wire.Decoder
+	retained int     // bytes that decoder holds, as counted in Machine.retainedBytes
 	stream   *stream // set for roleProxy
 	probe    *probe  // set for roleProbe
 	zone     string  // whose reports the collector forwards; set for roleCollector
@@ -50,7 +51,7 @@
 	if oldest := m.oldestHandshaking(); oldest != nil {
 		m.stats.Evicted++
 		m.logThrottled(out, problemEvicted, levelWarning, "connection limit reached, connection in its handshake closed", "limit", m.boot.MaxConnections)
-		delete(m.sessions, oldest.conn)
+		m.removeSession(oldest)
 		out.Abort(oldest.conn)
 	}
 }
@@ -86,6 +87,7 @@
 	for m.sessions[peer.conn] == peer {
 		message, err := peer.decoder.Next()
 		if err == nil && message == nil {
+			m.limitRetained(peer, out)
 			return
 		}
 		if err == nil {
@@ -106,10 +108,34 @@
 	}
 }
 
+// limitRetained accounts for the memory that a session's incomplete message takes. Above Bootstrap.MaxRetainedBytes it ends the
+// session that holds the most. A sound peer's messages have some hundred bytes, so that it is the last to go.
+func (m *Machine) limitRetained(changed *session, out *statemachine.Effects) {
+	m.retainedBytes += changed.decoder.Retained() - changed.retained
+	changed.retained = changed.decoder.Retained()
+	if m.boot.MaxRetainedBytes == 0 || m.retainedBytes <= m.boot.MaxRetainedBytes {
+		return
+	}
+	largest := changed
+	for _, candidate := range m.sessions {
+		if candidate.retained > largest.retained {
+			largest = candidate
+		}
+	}
+	m.endSession(largest, "too many bytes of incomplete messages are held", out)
+}
+
+// removeSession forgets a session and the memory that its incomplete message takes.
+func (m *Machine) removeSession(removed *session) {
+	delete(m.sessions, removed.conn)
+	m.retainedBytes -= removed.retained
+	removed.retained = 0
+}
+
 // endSession ends a session because of an error of its peer. The reason is sent to a peer in its handshake; the connection
 // of a joined peer is reset.
 func (m *Machine) endSession(peer *session, reason string, out *statemachine.Effects) {
-	delete(m.sessions, peer.conn)
+	m.removeSession(peer)
 	if peer.role == roleHandshake {
 		m.stats.Rejected++
 		m.logThrottled(out, problemRejected, levelInfo, "connection rejected", "conn", uint64(peer.conn), "cause", reason)
--- a/internal/platform/streams.go
+++ b/internal/platform/streams.go
@@ -44,7 +44,7 @@
 	if former := m.streams[message.Proxy]; former != nil {
 		// The former connection is dead, but its close has not been reported yet. When it is, it must have no effect.
 		m.stats.TakenOver++
-		delete(m.sessions, former.session.conn)
+		m.removeSession(former.session)
 		out.Abort(former.session.conn)
 		m.leave(former)
 	}
--- a/internal/platform/wire/decoder.go
+++ b/internal/platform/wire/decoder.go
@@ -31,6 +31,9 @@
 	d.buffer = append(d.buffer, data...)
 }
 
+// Retained returns the number of bytes of memory that the decoder holds.
+func (d *Decoder) Retained() int { return cap(d.buffer) }
+
 // Next returns the next message, or nil if more bytes are needed. After a *MessageError, decoding can continue with the next
 // message. Any other error wraps ErrTooLong or ErrMalformed and is final.
 func (d *Decoder) Next() (Message, error) {
