--- a/choice/cold_zone_test.go
+++ b/choice/cold_zone_test.go
@@ -259,6 +259,23 @@
 	c.run(8)
 }
 
+// returnZone has the backends of zone a start again, cold, and lists them one by one at the given interval. Once they are warm, none may
+// be excluded.
+func (c *coldZoneTest) returnZone(interval Seconds) {
+	c.t.Helper()
+	c.startedAt = c.fleet.now
+	c.run(1)
+	for number := range c.lostBackends {
+		c.fleet.step(0.01, deltaUpdate(c.endpoint(number, BackendOpen)))
+		c.checkColdLoad()
+		c.run(interval)
+	}
+	c.run(c.warmAfter + 1)
+	if excluded := c.excludedCount(); excluded > 0 {
+		c.t.Errorf("%d backends are warm but still excluded", excluded)
+	}
+}
+
 // listZone lists all backends of zone a in a state, in one update.
 func (c *coldZoneTest) listZone(state BackendState) {
 	c.t.Helper()
@@ -291,17 +308,7 @@
 				test := newColdZoneTest(t, scenario)
 				test.startWarm()
 				test.loseZone()
-				test.startedAt = test.fleet.now
-				test.run(1)
-				for number := range test.lostBackends {
-					test.fleet.step(0.01, deltaUpdate(test.endpoint(number, BackendOpen)))
-					test.checkColdLoad()
-					test.run(1)
-				}
-				test.run(test.warmAfter + 1)
-				if excluded := test.excludedCount(); excluded > 0 {
-					t.Errorf("%d backends are warm but still excluded", excluded)
-				}
+				test.returnZone(1)
 			})
 		}
 	}
--- a/choice/wrong_report_test.go
+++ b/choice/wrong_report_test.go
@@ -41,17 +41,7 @@
 				test.fleet.step(0.01, wrongFigures(test)[name])
 				test.run(6)
 				test.loseZone()
-				test.startedAt = test.fleet.now
-				test.run(1)
-				for number := range test.lostBackends {
-					test.fleet.step(0.01, deltaUpdate(test.endpoint(number, BackendOpen)))
-					test.checkColdLoad()
-					test.run(0.5)
-				}
-				test.run(test.warmAfter + 1)
-				if excluded := test.excludedCount(); excluded > 0 {
-					t.Errorf("%d backends are warm but still excluded", excluded)
-				}
+				test.returnZone(0.5)
 			})
 		}
 	}
